--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -94,10 +94,11 @@
     def __init__(self, trade: Trade, report: Callable[[Event], None], ready: Callable[[], bool]) -> None:
         self.trade, self.report, self.ready = trade, report, ready
         self.waiting: dict[int, asyncio.Future[AnswerClient]] = {}
+        self.busy: set[RequestHandler] = set()
         self.number = 0
         self.last = False
         self.listener: asyncio.Server | None = None
-        loop = asyncio.get_running_loop()
+        loop = self.loop = asyncio.get_running_loop()
 
         def make(
             message: RawRequestMessage, payload: StreamReader, protocol: RequestHandler, writer: Any,
@@ -124,7 +125,10 @@
         """No more connections, and those that stand idle are closed."""
         if self.listener is not None:
             self.listener.close()
-        self.server.pre_shutdown()
+        for connection in self.server.connections:
+            # Guards against `pre_shutdown`, which ends an idle connection's task but leaves its socket open.
+            if connection not in self.busy:
+                connection.force_close()
 
     async def close(self) -> None:
         await self.server.shutdown(timeout=0.1)
@@ -145,8 +149,9 @@
             return self._plain(413)
         except Malformed as bad:
             return self._plain(bad.status)
-        waiting = asyncio.get_running_loop().create_future()
+        waiting = self.loop.create_future()
         self.waiting[order.order] = waiting
+        self.busy.add(request.protocol)
         try:
             self.report(order)
             effect: AnswerClient = await waiting
@@ -155,6 +160,7 @@
             raise
         finally:
             del self.waiting[order.order]
+            self.busy.discard(request.protocol)
         response = web.Response(status=effect.status, body=effect.body)
         if effect.content_type:
             response.headers["Content-Type"] = effect.content_type
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,186 @@
+"""The program on real sockets: what passes unchanged, what is answered to whom, and how it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import AsyncIterator
+
+import pytest
+
+from tests import town
+
+
+@contextlib.asynccontextmanager
+async def town_with(
+    node: town.Script, quota: town.Script | None = None
+) -> AsyncIterator[tuple[town.Ingress, town.Seen, town.Seen]]:
+    async with (
+        town.party(node) as (node_at, nodes),
+        town.party(quota or town.counter()) as (quota_at, quotas),
+        town.party(town.silent) as (list_at, _),
+        town.ingress(node_at, quota_at, list_at) as ingress,
+    ):
+        yield ingress, nodes, quotas
+
+
+def status(answer: bytes) -> int:
+    return int(answer.split(b" ")[1])
+
+
+def test_a_request_passes_unchanged_and_its_answer_comes_back() -> None:
+    async def scene() -> None:
+        async with town_with(lambda r, w: town.OK) as (ingress, nodes, quotas):
+            target = "/place-order/a%2Fb/%7e?x=%20&&y=a+b"
+            body = bytes(range(256)) * 8
+            answer = await ingress.ask("POST", target, body, "Content-Encoding: gzip\r\n")
+            assert status(answer) == 200 and answer.endswith(b"\r\n\r\ndone")
+            head, _, passed = nodes.requests[0].partition(b"\r\n\r\n")
+            assert head.startswith(b"POST " + target.encode() + b" HTTP/1.1\r\n")
+            assert b"X-Correlation-Id: 9b1f03aa5c7e2d41" in head
+            assert b"Content-Encoding: gzip" in head
+            assert 0.8 < float(head.split(b"X-Time-Left: ")[1].split(b"\r\n")[0]) < 1.0
+            assert passed == body
+            assert quotas.requests[0].startswith(b"POST /counters/")
+            assert b"?by=2&expire_ms=" in quotas.requests[0]
+            assert status(await ingress.raw(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")) == 200
+
+    asyncio.run(scene())
+
+
+def test_a_kept_connection_that_dies_under_a_request_is_not_tried_again_by_itself() -> None:
+    # Guards against a client library's own resending: a place-order could run twice, unseen by the decisions.
+    served = 0
+
+    def node(_: bytes, writer: asyncio.StreamWriter) -> bytes | None:
+        nonlocal served
+        served += 1
+        if served == 1:
+            return town.OK
+        writer.close()
+        return None
+
+    async def scene() -> None:
+        async with town_with(node) as (ingress, nodes, _):
+            assert status(await ingress.ask("POST", "/place-order")) == 200
+            assert status(await ingress.ask("POST", "/place-order")) == 502
+            assert nodes.connections == 1
+            assert len(nodes.requests) == 2
+
+    asyncio.run(scene())
+
+
+def test_an_attempt_given_up_ends_its_connection_and_the_client_has_its_answer_in_time() -> None:
+    ended = asyncio.Event()
+
+    async def node(_: bytes, writer: asyncio.StreamWriter) -> None:
+        await writer.wait_closed()
+        ended.set()
+
+    async def scene() -> None:
+        async with town_with(node) as (ingress, nodes, _):
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            answer = await ingress.raw(town.request("POST", "/place-order", left="0.4"))
+            assert status(answer) == 504
+            assert loop.time() - began < 30  # it came at all: no time is measured here
+            assert len(nodes.requests) == 1
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize("quota", [town.silent, lambda r, w: w.close()], ids=["silent", "breaking"])
+def test_without_a_quota_counter_orders_are_still_answered(quota: town.Script) -> None:
+    async def scene() -> None:
+        async with town_with(lambda r, w: town.OK, quota) as (ingress, _, quotas):
+            for _ in range(3):
+                assert status(await ingress.ask("POST", "/place-order")) == 200
+            assert quotas.requests
+
+    asyncio.run(scene())
+
+
+def test_no_counter_call_is_refused_by_being_turned_away() -> None:
+    # The counter turns every call away until a run begins: that is no reason to be unready or to refuse.
+    away = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+
+    async def scene() -> None:
+        async with town_with(lambda r, w: town.OK, lambda r, w: away) as (ingress, _, _quotas):
+            assert status(await ingress.raw(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")) == 200
+            assert status(await ingress.ask("GET", "/stock-check")) == 200
+
+    asyncio.run(scene())
+
+
+BAD = {
+    "an unknown kind": (town.request("GET", "/nothing"), 404),
+    "another method": (town.request("GET", "/place-order"), 400),
+    "time that is none": (town.request("GET", "/stock-check", left="soon"), 400),
+    "time that is over": (town.request("GET", "/stock-check", left="-1"), 400),
+    "time without end": (town.request("GET", "/stock-check", left="inf"), 400),
+    "no headers": (b"GET /stock-check HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+    "an unknown tariff": (town.request("GET", "/stock-check").replace(b"negoce", b"gratis"), 400),
+    "an account that is none": (town.request("GET", "/stock-check").replace(b"b4d6", b"zzzz"), 400),
+    "units that are none": (town.request("GET", "/stock-check").replace(b"units=2", b"units=nan"), 400),
+    "spread that is none": (town.request("GET", "/stock-check").replace(b"spread=2", b"spread=inf"), 400),
+    "no HTTP": (b"\x16\x03\x01 what is this\r\n\r\n", 400),
+    "two lengths": (town.request("POST", "/place-order", b"abc", "Content-Length: 9\r\n"), 400),
+    "too much": (town.request("POST", "/place-order", b"x" * 70_000), 413),
+}
+
+
+def test_bad_input_is_answered_and_kills_nothing() -> None:
+    async def scene() -> None:
+        async with town_with(lambda r, w: town.OK) as (ingress, nodes, _):
+            for name, (data, expected) in BAD.items():
+                assert status(await ingress.raw(data)) == expected, name
+            assert not nodes.requests
+            assert status(await ingress.ask("GET", "/stock-check")) == 200
+            assert ingress.process.returncode is None
+
+    asyncio.run(scene())
+
+
+def test_a_stock_node_that_talks_nonsense_costs_one_connection_only() -> None:
+    served = 0
+
+    def node(_: bytes, __: asyncio.StreamWriter) -> bytes:
+        nonlocal served
+        served += 1
+        return b"\x00nonsense\r\n\r\n" if served == 20 else town.OK
+
+    async def scene() -> None:
+        async with town_with(node) as (ingress, _, _quotas):
+            answers = [status(await ingress.ask("POST", "/place-order")) for _ in range(22)]
+            assert answers == [200] * 19 + [502] + [200] * 2
+
+    asyncio.run(scene())
+
+
+def test_sigterm_answers_what_is_owed_and_what_still_comes_then_leaves_with_0() -> None:
+    release = asyncio.Event()
+
+    async def node(data: bytes, _: asyncio.StreamWriter) -> bytes:
+        if b"/slow" in data:
+            await release.wait()
+        return town.OK
+
+    async def scene() -> None:
+        async with town_with(node) as (ingress, nodes, _):
+            slow = asyncio.create_task(ingress.raw(town.request("POST", "/place-order/slow", left="3.0")))
+            while not nodes.requests:
+                await asyncio.sleep(0.01)
+            idle_reader, idle_writer = await asyncio.open_connection(*ingress.address)
+            ingress.process.send_signal(signal.SIGTERM)
+            assert ingress.process.stderr is not None
+            assert b"drain" in await ingress.process.stderr.readline()
+            late = await ingress.ask("GET", "/stock-check")
+            assert status(late) == 200 and b"connection: close" in late.lower()
+            assert await idle_reader.read() == b""  # closed by the ingress, with nothing on it
+            idle_writer.close()
+            release.set()
+            assert status(await slow) == 200
+            assert await ingress.process.wait() == 0
+
+    asyncio.run(scene())
--- /dev/null
+++ b/tests/town.py
@@ -0,0 +1,164 @@
+"""A whole ingress on loopback, and stand-ins for the parties round it that say what a test wants."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+import tempfile
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).parent.parent
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+SETTINGS: dict[str, Any] = {
+    "balancers": 2,
+    "me": 0,
+    "tick": 0.002,
+    "zone": 0,
+    "zones": ["bat-a", "bat-b"],
+    "classes": [
+        {"name": "stock-check", "aim": 0.4, "deadline": 1.2, "credit": 2.0, "effect": "retryable"},
+        {"name": "place-order", "aim": 0.8, "deadline": 3.0, "credit": 5.0, "effect": "fragile"},
+    ],
+    "tiers_of_service": [{"name": "negoce", "quota_rate": 1000.0, "most_at_once": 5000.0, "pays": 1.6}],
+    "domain": {"shared_counter": True, "counter_timeout": 0.08, "units_top": 3},
+    "ceilings": {"try_limit": 4, "cancelling": True, "conn_idle": 15.0, "dial_timeout": 0.25, "probes": True},
+    "invariants": {"cold": 16.0, "cold_from": 0.15, "fall": 1.5, "fall_multiple": 2.5},
+    "load_info": {"fields": ["svc_ms", "busy_reqs", "cpu_share"]},
+    "discovery": "pushed",
+}
+
+
+@dataclass
+class Seen:
+    """What a stand-in received: whole requests, and how many connections."""
+
+    requests: list[bytes] = field(default_factory=list)
+    connections: int = 0
+
+
+Script = Callable[[bytes, asyncio.StreamWriter], Any]
+
+
+async def read_request(reader: asyncio.StreamReader) -> bytes:
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = 0
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            length = int(line.split(b":")[1])
+    return head + await reader.readexactly(length)
+
+
+@contextlib.asynccontextmanager
+async def party(script: Script) -> AsyncIterator[tuple[str, Seen]]:
+    """A stand-in on a port of its own; `script` answers each request or does not."""
+    seen = Seen()
+    open_ones: set[asyncio.StreamWriter] = set()
+
+    async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        seen.connections += 1
+        open_ones.add(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while not writer.is_closing():
+                request = await read_request(reader)
+                seen.requests.append(request)
+                answer = script(request, writer)
+                if asyncio.iscoroutine(answer):
+                    answer = await answer
+                if answer:
+                    writer.write(answer)
+        writer.close()
+
+    server = await asyncio.start_server(talk, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    try:
+        yield f"{host}:{port}", seen
+    finally:
+        server.close()
+        for writer in open_ones:
+            writer.close()
+
+
+def counter() -> Script:
+    """Keeps the totals of its names."""
+    totals: dict[bytes, float] = {}
+
+    def script(request: bytes, _: asyncio.StreamWriter) -> bytes:
+        target = request.split(b" ")[1]
+        name, __, query = target.partition(b"?")
+        totals[name] = totals.get(name, 0.0) + float(query.split(b"&")[0].split(b"=")[1])
+        body = f"{totals[name]:g}".encode()
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+    return script
+
+
+def silent(_: bytes, __: asyncio.StreamWriter) -> None:
+    """Takes a request and says nothing."""
+
+
+@dataclass
+class Ingress:
+    address: tuple[str, int]
+    process: asyncio.subprocess.Process
+
+    async def raw(self, data: bytes) -> bytes:
+        """What comes back on a connection of its own, up to its end or a whole answer."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        try:
+            writer.write(data)
+            return await read_request(reader)
+        finally:
+            writer.close()
+
+    async def ask(self, method: str, target: str, body: bytes = b"", more: str = "") -> bytes:
+        return await self.raw(request(method, target, body, more))
+
+
+def request(method: str, target: str, body: bytes = b"", more: str = "", left: str = "1.0") -> bytes:
+    head = (
+        f"{method} {target} HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: 9b1f03aa5c7e2d41\r\n"
+        f"X-Tier: negoce\r\nCookie: customer=00000000b4d65521\r\nX-Time-Left: {left}\r\n"
+        f"X-Call-Terms: units=2,spread=2,first=0\r\n{more}"
+    )
+    return (head + (f"Content-Length: {len(body)}\r\n" if body else "") + "\r\n").encode() + body
+
+
+@contextlib.asynccontextmanager
+async def ingress(node: str, quota: str, nodes: str) -> AsyncIterator[Ingress]:
+    """The program itself, as `run` starts it, between the given parties."""
+    import socket
+
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    host = {"host": "s-1", "dial": node, "site": "bat-a", "class": "std-2c", "block": 0,
+            "health": "in_service", "share": 1.0, "born_ms": 0}  # fmt: skip
+    config = {
+        "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": nodes, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "counter": quota,
+        "known": {"seq": 41, "whole": True, "hosts": [host]}, "settings": SETTINGS,
+    }  # fmt: skip
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "config.json"
+        path.write_text(json.dumps(config))
+        env = {k: v for k, v in os.environ.items() if not k.startswith("BALANCER_")}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "opalgauge", cwd=ROOT, env={**env, "BALANCER_CONFIG": str(path)},
+            stderr=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        try:
+            assert process.stderr is not None
+            assert b"ready" in await asyncio.wait_for(process.stderr.readline(), 60)
+            yield Ingress(("127.0.0.1", port), process)
+        finally:
+            if process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGKILL)
+            await process.wait()
