--- a/opalgauge/lifecycle/service.py
+++ b/opalgauge/lifecycle/service.py
@@ -8,6 +8,8 @@
 import time
 from datetime import UTC, datetime, timedelta
 
+import uvloop
+
 from opalgauge.lifecycle.config import Config, ConfigError, read_config
 from opalgauge.memory.events import DrainAsked, GraceOver
 from opalgauge.memory.reducer import Reducer
@@ -63,7 +65,7 @@
 def main() -> int:
     try:
         config = read_config()
-        asyncio.run(serve(config))
+        uvloop.run(serve(config))
     except (ConfigError, OSError) as bad:
         log(f"cannot start: {bad}")
         return 2
--- a/opalgauge/wire/line.py
+++ b/opalgauge/wire/line.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -124,11 +125,12 @@
         """Ends the connection before anything else is sent on another; nothing more is reported."""
         self.over = True
         if self.transport is not None:
-            sock = self.transport.get_extra_info("socket")
             # Guards against the loop's habit of closing a socket a turn later, when a further attempt would
             # already be out.
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
+            with contextlib.suppress(OSError, ValueError):
+                held = socket.socket(fileno=os.dup(self.transport.get_extra_info("socket").fileno()))
+                with held:
+                    held.shutdown(socket.SHUT_RDWR)
             self.transport.abort()
 
     def _fault(self) -> None:
