Model a stock node connection's states and check random steps against it

The model knows opening, idle and busy and moves by effects alone. Breaking the reducer on purpose was noticed for: a call given up without closing its connection, a second answer, connections not counted; a closed connection left among the idle ones makes it run on without end.

--- /dev/null
+++ b/tests/test_line_states.py
@@ -0,0 +1,132 @@
+"""A model of a stock node connection's states, and random steps checked against it."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from opalgauge.memory import effects as fx
+from opalgauge.memory import events as ev
+from opalgauge.memory.state import Stage
+from starlinggap.interface import End
+from tests.desk import CHECK, PLACE, Desk
+
+
+class Lines(RuleBasedStateMachine):
+    """The model: each connection is opening, idle or busy until it ends, and knows nothing of the reducer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.desk = Desk(most_lines=4, nodes=2)
+        self.model: dict[int, Stage] = {}
+        self.open_orders: set[int] = set()
+        self.read = 0
+        self.follow()
+
+    def follow(self) -> None:
+        """Moves the model by the effects alone; an effect that its state forbids fails."""
+        for effect in self.desk.out[self.read :]:
+            if isinstance(effect, fx.OpenLine) and effect.party is fx.Party.STOCK_NODE:
+                self.model[effect.line] = Stage.OPENING
+            elif isinstance(effect, fx.SendAttempt):
+                assert self.model[effect.line] in (Stage.IDLE, Stage.OPENING)
+                self.model[effect.line] = Stage.BUSY
+            elif isinstance(effect, fx.CloseLine):
+                self.model.pop(effect.line, None)
+            elif isinstance(effect, fx.AnswerClient):
+                assert effect.order in self.open_orders, "a second answer"
+                self.open_orders.remove(effect.order)
+        self.read = len(self.desk.out)
+
+    def some(self, stage: Stage, pick: int) -> int:
+        lines = sorted(n for n, s in self.model.items() if s is stage)
+        return lines[pick % len(lines)]
+
+    def has(self, *stages: Stage) -> bool:
+        return any(s in stages for s in self.model.values())
+
+    @rule(kind=st.sampled_from([CHECK, PLACE]), left=st.integers(50, 3000))
+    def order(self, kind: int, left: int) -> None:
+        self.desk.number += 1
+        errand = ev.Errand("GET", "/stock-check", f"id-{self.desk.number}", (), b"")
+        self.open_orders.add(self.desk.number)
+        self.desk.step(ev.OrderTaken(self.desk.number, errand, kind, 0, self.desk.number,
+                                     timedelta(milliseconds=left), 1.0, 2, 0, False))  # fmt: skip
+        for n in range(self.read, 10**9):  # the counter's calls and their answers' own
+            if n == len(self.desk.out):
+                break
+            effect = self.desk.out[n]
+            if isinstance(effect, fx.OpenLine) and effect.party is fx.Party.QUOTA_COUNTER:
+                self.desk.step(ev.LineUp(effect.line))
+            elif isinstance(effect, fx.CallCounter):
+                self.desk.step(ev.CounterAnswered(effect.line, End.OK, 1.0, True))
+        self.follow()
+
+    @precondition(lambda self: self.has(Stage.OPENING))
+    @rule(pick=st.integers(0, 9))
+    def comes_up(self, pick: int) -> None:
+        line = self.some(Stage.OPENING, pick)
+        self.desk.step(ev.LineUp(line))
+        self.follow()
+        assert self.model.get(line) is not Stage.OPENING
+
+    @precondition(lambda self: self.has(Stage.BUSY))
+    @rule(pick=st.integers(0, 9), end=st.sampled_from([End.OK, End.ERROR, End.FULL]), keep=st.booleans())
+    def answers(self, pick: int, end: End, keep: bool) -> None:
+        line = self.some(Stage.BUSY, pick)
+        self.model[line] = Stage.IDLE
+        self.desk.step(ev.NodeAnswered(line, end, keep, b""))
+        self.follow()
+        assert keep or line not in self.model
+
+    @precondition(lambda self: self.has(*Stage))
+    @rule(
+        stage=st.sampled_from(list(Stage)), pick=st.integers(0, 9), reached=st.sampled_from(list(ev.Reached))
+    )
+    def ends(self, stage: Stage, pick: int, reached: ev.Reached) -> None:
+        if self.has(stage):
+            line = self.some(stage, pick)
+            del self.model[line]
+            self.desk.step(ev.LineEnded(line, reached))
+            self.follow()
+
+    @precondition(lambda self: bool(self.open_orders))
+    @rule(pick=st.integers(0, 9))
+    def client_leaves(self, pick: int) -> None:
+        order = sorted(self.open_orders)[pick % len(self.open_orders)]
+        self.open_orders.remove(order)
+        self.desk.step(ev.ClientLeft(order))
+        self.follow()
+
+    @rule(span=st.sampled_from([1, 20, 90, 300, 1500, 10_000]))
+    def time_passes(self, span: int) -> None:
+        self.desk.pass_time(timedelta(milliseconds=span))
+        self.follow()
+
+    @invariant()
+    def the_books_agree_with_the_model(self) -> None:
+        books = self.desk.reducer.books
+        lines = {n: line for n, line in books.lines.items() if line.party is fx.Party.STOCK_NODE}
+        assert {n: line.stage for n, line in lines.items()} == self.model
+        assert books.node_lines == len(self.model) <= 4
+        assert sorted(n for idle in books.idle.values() for n in idle) == sorted(
+            n for n, s in self.model.items() if s is Stage.IDLE
+        )
+        carried = [line.attempt for line in lines.values() if line.attempt]
+        assert len(carried) == len(books.attempts) <= len(self.open_orders)
+        assert set(books.orders) == self.open_orders
+
+    def teardown(self) -> None:
+        """Whatever happened, every order has its answer once its time is up."""
+        self.desk.pass_time(timedelta(seconds=4))
+        self.follow()
+        assert not self.open_orders and not self.desk.reducer.books.attempts
+
+
+Lines.TestCase.settings = settings(
+    derandomize=True, deadline=None, max_examples=60, stateful_step_count=40, database=None
+)
+TestLines = Lines.TestCase
