Do not flood a node list agent that does not wait, nor log it at length

Checked by reading: an agent that answers its watch at once with nothing was asked again at once, in a loop that would take the core; one that answers nonsense was logged ten times a second. At fault: Reducer._node_list_answered.

--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -424,6 +424,10 @@
         line.since = self.now
         self._at(self.now + self.house.list_patience, self._list_silent, line, self.now)
 
+    def _ask_list_again(self, line: Line) -> None:
+        if line.number in self.books.lines and line.since is None:
+            self._write_list_question(line)
+
     def _list_silent(self, line: Line, asked: datetime) -> None:
         # Guards against an agent that never answers: the watch is asked anew on a fresh connection.
         if line.number in self.books.lines and line.since == asked:
@@ -440,10 +444,12 @@
         line = self.books.lines.get(event.line)
         if line is None:
             return
-        line.since = None
+        asked, line.since = line.since or self.now, None
         if event.nodes is None:
             # Guards against an answer that cannot be read: the whole list is asked for, after a pause.
-            self.out.append(fx.Log("node list: unreadable answer; asking for the whole list"))
+            if self.books.list_heard:
+                self.books.list_heard = False
+                self.out.append(fx.Log("node list: unreadable answer; asking for the whole list"))
             self.books.list_version = None
             self._close_line(line)
             self._at(self.now + self.house.list_pause, self._ask_list)
@@ -454,7 +460,10 @@
         self.books.list_version = event.version
         if event.nodes or event.kind is i.ListKind.WHOLE:
             self._take_list(event.kind, event.nodes)
-        if event.keep:
+        if event.keep and not event.nodes and self.now - asked < self.house.list_pause:
+            # Guards against an agent that does not wait: asking it without a pause would take the whole core.
+            self._at(self.now + self.house.list_pause, self._ask_list_again, line)
+        elif event.keep:
             self._write_list_question(line)
         else:
             self._close_line(line)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -152,6 +152,7 @@
 def test_the_watch_is_asked_again_at_once_and_after_a_break_within_200_ms() -> None:
     desk = Desk()
     line = desk.list_question().line
+    desk.pass_time(timedelta(seconds=5))
     desk.step(ev.NodeListAnswered(line, True, 9, i.ListKind.CHANGES, ()))
     assert desk.list_question().since == 9
     desk.step(ev.LineEnded(line, ev.Reached.WRITTEN))
@@ -160,6 +161,22 @@
     assert len(opened) == 2
 
 
+def test_an_agent_that_does_not_wait_or_talks_nonsense_is_neither_flooded_nor_logged_at_length() -> None:
+    desk = Desk()
+    for asked in range(1, 21):
+        line = desk.list_question().line
+        desk.step(ev.NodeListAnswered(line, True, 9, i.ListKind.CHANGES, ()))
+        assert len([e for e in desk.out if isinstance(e, fx.AskNodeList)]) == asked
+        desk.pass_time(timedelta(milliseconds=150))
+        assert len([e for e in desk.out if isinstance(e, fx.AskNodeList)]) == asked + 1
+    for _ in range(20):
+        desk.step(ev.NodeListAnswered(desk.list_question().line, False))
+        desk.pass_time(timedelta(milliseconds=150))
+        desk.bring_up()
+    assert desk.list_question().since is None
+    assert len([e for e in desk.out if isinstance(e, fx.Log)]) == 1
+
+
 def test_a_silent_node_list_is_asked_anew_and_serving_goes_on() -> None:
     desk = Desk()
     line = desk.list_question().line
