--- /dev/null
+++ b/tests/test_line.py
@@ -0,0 +1,99 @@
+"""One outgoing connection on a real socket: what its end tells, and that it ends at once."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+
+from opalgauge.memory import events as ev
+from opalgauge.wire import stock_nodes
+from opalgauge.wire.line import LineProtocol
+
+Scene = Callable[[LineProtocol, socket.socket, list[ev.Event]], Awaitable[None]]
+
+
+def with_line(scene: Scene) -> None:
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        ours, theirs = socket.socketpair()
+        events: list[ev.Event] = []
+        line = LineProtocol(1, loop, events.append, stock_nodes.understand_attempt, 64 * 1024)
+        await loop.create_connection(lambda: line, sock=ours)
+        assert events == [ev.LineUp(1)]
+        events.clear()
+        try:
+            await scene(line, theirs, events)
+        finally:
+            line.end()
+            theirs.close()
+
+    asyncio.run(play())
+
+
+async def until(events: list[ev.Event]) -> None:
+    while not events:
+        await asyncio.sleep(0.001)
+
+
+def test_an_end_is_seen_by_the_other_side_before_the_loop_turns() -> None:
+    async def scene(line: LineProtocol, theirs: socket.socket, events: list[ev.Event]) -> None:
+        line.end()
+        theirs.settimeout(5)
+        assert theirs.recv(1) == b""  # no await since: a further attempt could not have been written yet
+        await asyncio.sleep(0.01)
+        assert not events
+
+    with_line(scene)
+
+
+def test_a_request_that_was_not_wholly_written_is_told_as_such() -> None:
+    async def scene(line: LineProtocol, theirs: socket.socket, events: list[ev.Event]) -> None:
+        line.send(b"x" * 50_000_000)  # far more than any socket buffer holds
+        theirs.close()
+        await until(events)
+        assert events == [ev.LineEnded(1, ev.Reached.WRITING)]
+
+    with_line(scene)
+
+
+def test_a_request_that_was_wholly_written_may_have_run() -> None:
+    async def scene(line: LineProtocol, theirs: socket.socket, events: list[ev.Event]) -> None:
+        line.send(b"GET / HTTP/1.1\r\n\r\n")
+        theirs.recv(100)
+        theirs.close()
+        await until(events)
+        assert events == [ev.LineEnded(1, ev.Reached.WRITTEN)]
+
+    with_line(scene)
+
+
+def test_an_answer_that_breaks_off_is_no_answer() -> None:
+    async def scene(line: LineProtocol, theirs: socket.socket, events: list[ev.Event]) -> None:
+        line.send(b"GET / HTTP/1.1\r\n\r\n")
+        theirs.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+        await asyncio.sleep(0.01)
+        theirs.close()
+        await until(events)
+        assert events == [ev.LineEnded(1, ev.Reached.ANSWERING)]
+
+    with_line(scene)
+
+
+def test_answers_in_pieces_and_several_at_once_are_told_in_order() -> None:
+    async def scene(line: LineProtocol, theirs: socket.socket, events: list[ev.Event]) -> None:
+        one = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+        two = b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+        line.send(b"GET / HTTP/1.1\r\n\r\n" * 2)
+        for byte in (one + one + two)[: len(one)]:
+            theirs.sendall(bytes([byte]))
+            await asyncio.sleep(0)
+        theirs.sendall(one + two)
+        while len(events) < 3:
+            await asyncio.sleep(0.001)
+        answers = [e for e in events if isinstance(e, ev.NodeAnswered)]
+        assert [(a.end.value, a.keep, a.body) for a in answers] == [
+            ("ok", True, b"abc"), ("ok", True, b"abc"), ("error", False, b"")
+        ]  # fmt: skip
+
+    with_line(scene)
