--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -202,6 +202,37 @@
     assert fx.CloseLine(line) in desk.out
 
 
+def test_a_probe_goes_out_on_a_connection_and_its_report_comes_back() -> None:
+    desk = Desk()
+    heard: list[i.Event] = []
+    asked: list[i.Action] = [i.Probe(2), i.Probe(3)]
+
+    def handle(now: float, events: list[i.Event]) -> list[i.Action]:
+        heard.extend(events)
+        actions, asked[:] = list(asked), []
+        return actions
+
+    desk.reducer.gateway.handle = handle  # type: ignore[method-assign]
+    desk.order(CHECK)
+    first, second = (e.line for e in desk.out if isinstance(e, fx.SendProbe))
+    desk.step(ev.NodeAnswered(first, i.End.OK, True, load={"util": 0.5}))
+    desk.pass_time(timedelta(milliseconds=300))
+    told = [(e.server, e.end, e.load) for e in heard if isinstance(e, i.Probed)]
+    assert told == [(2, i.End.OK, {"util": 0.5}), (3, i.End.TIMEOUT, {})]
+    assert fx.CloseLine(second) in desk.out and fx.CloseLine(first) not in desk.out
+
+
+def test_close_drops_the_idle_connections_to_that_stock_node() -> None:
+    desk = Desk()
+    desk.admit(CHECK)
+    line = desk.attempt().line
+    desk.step(ev.NodeAnswered(line, i.End.OK, True, b""))
+    node_number = desk.reducer.books.lines[line].node
+    desk.reducer.gateway.handle = lambda now, events: [i.Close(node_number)]  # type: ignore[method-assign]
+    desk.order(CHECK)
+    assert fx.CloseLine(line) in desk.out
+
+
 def test_a_full_house_of_connections_makes_room_or_says_so() -> None:
     desk = Desk(most_lines=2, nodes=3)
     for _ in range(6):
--- a/tests/test_wire_words.py
+++ b/tests/test_wire_words.py
@@ -55,6 +55,15 @@
     }  # fmt: skip
 
 
+@pytest.mark.parametrize(
+    ("status", "body", "end", "load"),
+    [(200, b"util=0.5", i.End.OK, {"util": 0.5}), (503, b"", i.End.FULL, {}), (404, b"", i.End.ERROR, {})],
+)
+def test_probe_answers(status: int, body: bytes, end: i.End, load: dict[str, float]) -> None:
+    answered = stock_nodes.understand_probe(1, reply(status, body))
+    assert (answered.end, answered.load) == (end, load)
+
+
 @pytest.mark.parametrize(
     ("amount", "by"),
     [(2.0, "2"), (-2.5, "-2.5"), (0.0, "0"), (1e-9, "0"), (1 / 3, "0.333333"), (1e12, "1000000000")],
