Take SIGHUP as a reload, and close and bound client connections that ask nothing

At fault: keepalive_timeout of an hour in wire/clients.py and no bound on connections.

The reducer now knows every client connection as silent, asking or kept. It closes the silent and the kept after 2.1 s and 5 s, bounds them by half the descriptors and lets the longest silent make room. SIGHUP reads the file again and moves the counter and the node list. A body that announces too much is answered at once.

--- a/opalgauge/lifecycle/config.py
+++ b/opalgauge/lifecycle/config.py
@@ -17,7 +17,7 @@
 from starlinggap.interface import SettingsError
 
 IDLE_SHARE = 0.6  # of the time after which a stock node closes an idle connection
-SPARE_SOCKETS = 80  # listener, node list, quota counter, standard streams and the loop's own
+SPARE_SOCKETS = 48  # listener, node list, quota counter, standard streams and the loop's own
 
 
 class ConfigError(Exception):
@@ -68,19 +68,25 @@
         settings = replace(settings, keeps_open=keeps.total_seconds())
         sockets = int(told.get("limits", {}).get("sockets", 1024))
         known = told.get("known") or {}
+        # Half for clients, of whose requests at most a third of all descriptors is open; most of the rest
+        # for stock nodes.
+        most_clients = max(16, sockets // 2)
+        most_lines = max(16, sockets - most_clients - SPARE_SOCKETS)
         ceilings = told_settings.get("ceilings", {})
         house = House(
             settings=settings,
             seed=int(str(told.get("seed", "0")), 16),
             counter_address=str(told.get("counter", "")),
-            node_list_address=environ.get("BALANCER_DISCOVERY") or str(told["discovery"]),
+            # The file before the environment: it may have been replaced since this was set.
+            node_list_address=str(told.get("discovery") or environ["BALANCER_DISCOVERY"]),
             known_version=int(known.get("seq", 0)),
             known=read_nodes(known.get("hosts", ()), zones),
             dial_timeout=timedelta(seconds=float(ceilings.get("dial_timeout", 0.25))),
             idle_limit=keeps,
             counter_timeout=timedelta(seconds=settings.counter_timeout),
-            most_lines=max(16, (sockets - SPARE_SOCKETS) // 2),
-            most_orders=max(16, min(int(ceilings.get("max_open", 20000)), (sockets - SPARE_SOCKETS) // 2)),
+            most_lines=most_lines,
+            most_orders=max(16, min(int(ceilings.get("max_open", 20000)), most_clients)),
+            most_clients=most_clients,
         )
         trade = Trade(
             [(str(c["name"]), c.get("effect") == "retryable") for c in told_settings["classes"]],
--- a/opalgauge/lifecycle/service.py
+++ b/opalgauge/lifecycle/service.py
@@ -11,13 +11,14 @@
 import uvloop
 
 from opalgauge.lifecycle.config import Config, ConfigError, read_config
-from opalgauge.memory.events import DrainAsked, GraceOver
+from opalgauge.memory.events import DrainAsked, GraceOver, Readdressed
 from opalgauge.memory.reducer import Reducer
 from opalgauge.wire.clients import Clients
 from opalgauge.wire.exchange import Exchange
 from opalgauge.wire.node_list import NodeListReader
 
 GRACE = timedelta(milliseconds=550)  # the front deals out new connections for up to 400 ms after SIGTERM
+RELOAD_TRIES, RELOAD_PAUSE = 5, timedelta(milliseconds=100)
 LINGER = timedelta(milliseconds=50)  # for the last answers to leave
 
 
@@ -50,12 +51,26 @@
             exchange.report(DrainAsked())
             loop.call_later(GRACE.total_seconds(), exchange.report, GraceOver())
 
+    def reload(tries: int = RELOAD_TRIES) -> None:
+        """The addresses of the quota counter and the node list may change in service, nothing else does."""
+        try:
+            house = read_config().house
+        except ConfigError as bad:
+            # Guards against a file that is just being replaced, and against one that is no good at all.
+            if tries > 1:
+                loop.call_later(RELOAD_PAUSE.total_seconds(), reload, tries - 1)
+            else:
+                log(f"reload: {bad}; going on as before")
+            return
+        exchange.report(Readdressed(house.counter_address, house.node_list_address))
+
     # Whatever escapes on a connection ends there, and is told in one line.
     loop.set_exception_handler(
         lambda _, what: exchange.fault(f"{what.get('message')}: {what.get('exception')!r}")
     )
     loop.add_signal_handler(signal.SIGTERM, drain)
     loop.add_signal_handler(signal.SIGINT, drain)
+    loop.add_signal_handler(signal.SIGHUP, reload)
     exchange.start()
     await clients.listen(*config.listen)
     host, port = config.listen
--- a/opalgauge/memory/effects.py
+++ b/opalgauge/memory/effects.py
@@ -74,6 +74,13 @@
     last: bool = False
 
 
+@dataclass(slots=True)
+class CloseClient:
+    """Ends a client's connection, over which nothing is owed."""
+
+    client: int
+
+
 @dataclass(slots=True)
 class WakeAt:
     """Replaces the wake-up asked for before."""
@@ -104,6 +111,7 @@
     | CallCounter
     | AskNodeList
     | AnswerClient
+    | CloseClient
     | WakeAt
     | CloseFront
     | Leave
--- a/opalgauge/memory/events.py
+++ b/opalgauge/memory/events.py
@@ -51,13 +51,21 @@
     spread: int
     first: int
     repeat: bool
+    client: int  # the connection that it came over
+
+
+@dataclass(slots=True)
+class ClientCame:
+    """A client opened a connection."""
+
+    client: int
 
 
 @dataclass(slots=True)
 class ClientLeft:
-    """The client closed its connection before its answer."""
+    """A client's connection has ended, whichever side closed it, and with it whatever was asked over it."""
 
-    order: int
+    client: int
 
 
 @dataclass(slots=True)
@@ -121,6 +129,14 @@
     """The wake-up that was asked for is due."""
 
 
+@dataclass(slots=True)
+class Readdressed:
+    """The configuration was read again: where the quota counter and the node list are asked from now on."""
+
+    counter_address: str
+    node_list_address: str
+
+
 @dataclass(slots=True)
 class DrainAsked:
     """The ingress is to stop: its answers close their connections."""
@@ -133,6 +149,7 @@
 
 Event = (
     OrderTaken
+    | ClientCame
     | ClientLeft
     | LineUp
     | LineEnded
@@ -140,6 +157,7 @@
     | CounterAnswered
     | NodeListAnswered
     | Woken
+    | Readdressed
     | DrainAsked
     | GraceOver
 )
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -25,7 +25,11 @@
 
     def __init__(self, house: House) -> None:
         self.house = house
-        self.books = Books(list_version=house.known_version if house.known else None)
+        self.books = Books(
+            house.counter_address,
+            house.node_list_address,
+            list_version=house.known_version if house.known else None,
+        )
         self.gateway = Gateway(house.settings, house.seed)
         self.now = datetime.fromtimestamp(0, UTC)
         self.out: list[fx.Effect] = []
@@ -35,6 +39,7 @@
         self.wake: datetime | None = None
         self.on: dict[type, Callable[[Any], None]] = {
             ev.OrderTaken: self._order_taken,
+            ev.ClientCame: self._client_came,
             ev.ClientLeft: self._client_left,
             ev.LineUp: self._line_up,
             ev.LineEnded: self._line_ended,
@@ -42,6 +47,7 @@
             ev.CounterAnswered: self._counter_answered,
             ev.NodeListAnswered: self._node_list_answered,
             ev.Woken: self._woken,
+            ev.Readdressed: self._readdressed,
             ev.DrainAsked: self._drain_asked,
             ev.GraceOver: self._grace_over,
         }
@@ -107,17 +113,21 @@
     # --- clients -------------------------------------------------------------------------------------------
     def _order_taken(self, event: ev.OrderTaken) -> None:
         house, books = self.house, self.books
+        books.silent.pop(event.client, None)
+        books.kept.pop(event.client, None)
         if len(books.orders) >= house.most_orders:
             # Guards against a crowd of clients taking all memory; nothing has run, so a repeat is harmless.
             retry = timedelta(seconds=house.settings.max_retry_after)
             self.out.append(fx.AnswerClient(event.order, 429, retry_after=retry, last=books.draining))
+            self._keep(event.client)
             return
         kind = house.settings.classes[event.kind]
         answer_by = self.now + max(event.time_left - house.guard_margin, event.time_left / 2)
         budget = max(event.time_left - house.answer_margin, event.time_left / 4)
         books.orders[event.order] = Order(
-            event.order, event.errand, kind.effect is i.Effect.SAFE, answer_by
+            event.order, event.errand, kind.effect is i.Effect.SAFE, answer_by, event.client
         )
+        books.asking[event.client] = event.order
         # Guards against decisions that never come: the client gets its answer in any case.
         self._at(answer_by, self._overdue, event.order)
         self.news.append(
@@ -127,9 +137,62 @@
             )
         )  # fmt: skip
 
+    def _client_came(self, event: ev.ClientCame) -> None:
+        books, house = self.books, self.house
+        if len(books.silent) + len(books.asking) + len(books.kept) >= house.most_clients:
+            # Guards the limit on sockets against clients that connect and ask nothing: over it, neither a
+            # client nor a stock node could be reached any more. The one that is least missed makes room.
+            for quiet, least in (
+                (books.silent, house.silent_least),
+                (books.kept, house.kept_least),
+                (books.kept, house.silent_least),
+            ):
+                oldest = next(iter(quiet.items()), None)
+                if oldest is not None and self.now - oldest[1] >= least:
+                    self._dismiss(oldest[0])
+                    break
+            else:
+                self.out.append(fx.CloseClient(event.client))
+                return
+        books.silent[event.client] = self.now
+        self._look_later()
+
     def _client_left(self, event: ev.ClientLeft) -> None:
-        if self.books.orders.pop(event.order, None):
-            self.news.append(i.ClientGone(event.order))
+        books = self.books
+        books.silent.pop(event.client, None)
+        books.kept.pop(event.client, None)
+        number = books.asking.pop(event.client, None)
+        if number is not None and number in books.orders:
+            del books.orders[number]
+            self.news.append(i.ClientGone(number))
+
+    def _keep(self, client: int) -> None:
+        """A client has its answer: its connection waits for the next request."""
+        self.books.kept[client] = self.now
+        self._look_later()
+
+    def _look_later(self) -> None:
+        if not self.books.looking:
+            self.books.looking = True
+            self._at(self.now + self.house.client_round, self._look)
+
+    def _look(self) -> None:
+        # Guards against clients that connect and say nothing, stop in the middle of a request, or ask once
+        # and stay: each would hold a socket for good.
+        books, house = self.books, self.house
+        books.looking = False
+        for quiet, limit in ((books.silent, house.silent_limit), (books.kept, house.kept_limit)):
+            for client, since in list(quiet.items()):
+                if self.now - since < limit:
+                    break
+                self._dismiss(client)
+        if books.silent or books.kept:
+            self._look_later()
+
+    def _dismiss(self, client: int) -> None:
+        self.books.silent.pop(client, None)
+        self.books.kept.pop(client, None)
+        self.out.append(fx.CloseClient(client))
 
     def _overdue(self, number: int) -> None:
         if number in self.books.orders:
@@ -138,8 +201,10 @@
 
     def _answer(self, number: int, status: int, **more: Any) -> None:
         """The one final answer: an order that is answered is no longer held, so there is no second."""
-        if self.books.orders.pop(number, None):
+        if order := self.books.orders.pop(number, None):
             self.out.append(fx.AnswerClient(number, status, last=self.books.draining, **more))
+            if self.books.asking.pop(order.client, None) is not None:
+                self._keep(order.client)
 
     def _refuse(self, action: i.Refuse) -> None:
         order = self.books.orders.get(action.request)
@@ -359,7 +424,7 @@
             self._counter_line_lost(line)
             line = None
         if line is None:
-            line = books.counter[place] = self._open(fx.Party.QUOTA_COUNTER, house.counter_address)
+            line = books.counter[place] = self._open(fx.Party.QUOTA_COUNTER, books.counter_address)
             self._at(self.now + house.dial_timeout, self._dial_over, line.number)
         if line.stage is Stage.OPENING:
             line.waiting.append(call)
@@ -415,7 +480,7 @@
     def _ask_list(self) -> None:
         if self.books.list_line in self.books.lines:
             return
-        line = self._open(fx.Party.NODE_LIST, self.house.node_list_address)
+        line = self._open(fx.Party.NODE_LIST, self.books.node_list_address)
         self.books.list_line = line.number
         self._at(self.now + self.house.dial_timeout, self._dial_over, line.number)
 
@@ -488,6 +553,26 @@
                     books.idle.pop(number, None)
         self.news.append(i.ServerList(kind, tuple(n.entry for n in nodes)))
 
+    # --- new addresses -------------------------------------------------------------------------------------
+    def _readdressed(self, event: ev.Readdressed) -> None:
+        """The old connections are left at once: a name's calls must all go to one place, in their order."""
+        books = self.books
+        if event.counter_address != books.counter_address:
+            books.counter_address = event.counter_address
+            for line in list(books.counter.values()):
+                self._close_line(line)
+                self._counter_line_lost(line)
+        if event.node_list_address != books.node_list_address:
+            books.node_list_address = event.node_list_address
+            # Guards against versions that another agent counts differently: its whole list is asked for.
+            books.list_version = None
+            if watch := books.lines.get(books.list_line):
+                self._close_line(watch)
+            self._ask_list()
+        self.out.append(fx.Log(
+            f"reload: quota counter at {books.counter_address}, node list at {books.node_list_address}"
+        ))  # fmt: skip
+
     # --- stop ----------------------------------------------------------------------------------------------
     def _drain_asked(self, _: ev.DrainAsked) -> None:
         self.books.draining = True
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -27,6 +27,12 @@
     counter_timeout: timedelta
     most_lines: int  # connections to stock nodes at once
     most_orders: int
+    most_clients: int  # connections from clients at once
+    silent_limit: timedelta = timedelta(milliseconds=2100)  # without a whole request since it was opened
+    kept_limit: timedelta = timedelta(seconds=5)  # without another since the last answer
+    kept_least: timedelta = timedelta(seconds=2)  # it is left alone so long where there is room for others
+    silent_least: timedelta = timedelta(milliseconds=100)  # the time a request needs behind its connection
+    client_round: timedelta = timedelta(milliseconds=250)  # between looks at them
     counter_lines: int = 16  # of the 32 that the counter holds: room for those it has not yet seen closed
     counter_depth: int = 256  # calls without an answer on one connection
     counter_patience: timedelta = timedelta(seconds=2)  # a counter connection silent so long is replaced
@@ -92,6 +98,7 @@
     errand: Errand
     harmless: bool  # it may be repeated at any time
     answer_by: datetime
+    client: int = 0
     attempts: int = 0
     may_have_run: bool = False
     timed_out: bool = False
@@ -101,7 +108,15 @@
 class Books:
     """All the state of an ingress but the decisions' own."""
 
+    counter_address: str
+    node_list_address: str
     orders: dict[int, Order] = field(default_factory=dict)
+    # Connections from clients: those that have asked nothing yet, those that wait for an answer (and for
+    # which), and those kept after one. The first and the last say since when, the longest first.
+    silent: dict[int, datetime] = field(default_factory=dict)
+    asking: dict[int, int] = field(default_factory=dict)
+    kept: dict[int, datetime] = field(default_factory=dict)
+    looking: bool = False  # a look at the connections that ask nothing is due
     attempts: dict[tuple[int, int], Attempt] = field(default_factory=dict)
     lines: dict[int, Line] = field(default_factory=dict)
     idle: dict[int, list[int]] = field(default_factory=dict)  # by stock node, the longest idle first
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -16,7 +16,7 @@
 from aiohttp.web_protocol import RequestHandler
 
 from opalgauge.memory.effects import AnswerClient
-from opalgauge.memory.events import ClientLeft, Errand, Event, OrderTaken
+from opalgauge.memory.events import ClientCame, ClientLeft, Errand, Event, OrderTaken
 
 MOST_BODY = 64 * 1024  # bytes
 MOST_ACCOUNT = 2**33
@@ -59,7 +59,7 @@
     return told["units"], int(told["spread"]), int(told["first"])
 
 
-def read_order(request: web.BaseRequest, number: int, body: bytes, trade: Trade) -> OrderTaken:
+def read_order(request: web.BaseRequest, number: int, client: int, body: bytes, trade: Trade) -> OrderTaken:
     """What the request's line and headers say; raises Malformed where they say nothing usable."""
     target, headers = request.raw_path, request.headers
     kind = trade.kinds.get(target[1:].split("?", 1)[0].split("/", 1)[0]) if target[:1] == "/" else None
@@ -84,18 +84,38 @@
     errand = Errand(request.method, target, correlation, content, body)
     return OrderTaken(
         number, errand, kind[0], tariff, account_number, timedelta(seconds=left), units, spread, first,
-        headers.get("X-Repeat") == "1",
+        headers.get("X-Repeat") == "1", client,
     )  # fmt: skip
 
 
+class Front(web.Server):
+    """aiohttp's low-level server, which also tells when connections come and go."""
+
+    def __init__(
+        self, came: Callable[[RequestHandler], None], went: Callable[[RequestHandler], None], **more: Any
+    ) -> None:
+        super().__init__(**more)
+        self.came, self.went = came, went
+
+    def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
+        super().connection_made(handler, transport)
+        self.came(handler)
+
+    def connection_lost(self, handler: RequestHandler, exc: BaseException | None = None) -> None:
+        super().connection_lost(handler, exc)
+        self.went(handler)
+
+
 class Clients:
     """The sockets that clients reach, on aiohttp's low-level server."""
 
     def __init__(self, trade: Trade, report: Callable[[Event], None], ready: Callable[[], bool]) -> None:
         self.trade, self.report, self.ready = trade, report, ready
         self.waiting: dict[int, asyncio.Future[AnswerClient]] = {}
+        self.connections: dict[int, RequestHandler] = {}
+        self.numbers: dict[RequestHandler, int] = {}
         self.busy: set[RequestHandler] = set()
-        self.number = 0
+        self.number = self.connection = 0
         self.last = False
         self.listener: asyncio.Server | None = None
         loop = self.loop = asyncio.get_running_loop()
@@ -108,14 +128,17 @@
                 message, payload, protocol, writer, task, loop, client_max_size=MOST_BODY
             )
 
-        self.server = web.Server(
-            self._serve,
+        self.server = Front(
+            came=self._came,
+            went=self._went,
+            handler=self._serve,
             request_factory=make,
             handler_cancellation=True,  # a client that leaves is noticed
             access_log=None,
             auto_decompress=False,  # a body passes as it came
             logger=QUIET,
-            keepalive_timeout=LONGEST,  # the front closes its connections, not the ingress
+            keepalive_timeout=LONGEST,  # the reducer says which connections are to be closed
+            lingering_time=0,  # guards against reading on for 10 s where a body is too long to be taken
         )
 
     async def listen(self, host: str, port: int) -> None:
@@ -133,6 +156,21 @@
     async def close(self) -> None:
         await self.server.shutdown(timeout=0.1)
 
+    def _came(self, connection: RequestHandler) -> None:
+        self.connection += 1
+        self.connections[self.connection] = connection
+        self.numbers[connection] = self.connection
+        self.report(ClientCame(self.connection))
+
+    def _went(self, connection: RequestHandler) -> None:
+        if number := self.numbers.pop(connection, None):
+            self.connections.pop(number, None)
+            self.report(ClientLeft(number))
+
+    def dismiss(self, client: int) -> None:
+        if connection := self.connections.get(client):
+            connection.force_close()
+
     def answer(self, effect: AnswerClient) -> None:
         waiting = self.waiting.get(effect.order)
         if waiting is not None and not waiting.done():
@@ -142,9 +180,14 @@
         if request.raw_path == "/ready":
             return web.Response(status=200 if self.ready() else 503)
         try:
+            if (request.content_length or 0) > MOST_BODY:
+                raise Malformed(413, "a body that is too long")
             body = await request.read() if request.body_exists else b""
             self.number += 1
-            order = read_order(request, self.number, body, self.trade)
+            client = self.numbers.get(request.protocol)
+            if client is None:
+                raise Malformed(400, "gone before its request was read")
+            order = read_order(request, self.number, client, body, self.trade)
         except web.HTTPRequestEntityTooLarge:
             return self._plain(413)
         except Malformed as bad:
@@ -155,9 +198,6 @@
         try:
             self.report(order)
             effect: AnswerClient = await waiting
-        except asyncio.CancelledError:
-            self.report(ClientLeft(order.order))
-            raise
         finally:
             del self.waiting[order.order]
             self.busy.discard(request.protocol)
--- a/opalgauge/wire/exchange.py
+++ b/opalgauge/wire/exchange.py
@@ -51,6 +51,7 @@
             ),
             fx.AskNodeList: lambda e: self._write(e.line, question_bytes(e.since, e.wait)),
             fx.AnswerClient: self._answer,
+            fx.CloseClient: self._close_client,
             fx.WakeAt: self._wake_at,
             fx.CloseFront: lambda _: self.clients.stop_listening() if self.clients else None,
             fx.Leave: lambda _: self.leave(),
@@ -143,6 +144,10 @@
         if self.clients is not None:
             self.clients.answer(effect)
 
+    def _close_client(self, effect: fx.CloseClient) -> None:
+        if self.clients is not None:
+            self.clients.dismiss(effect.client)
+
     def _wake_at(self, effect: fx.WakeAt) -> None:
         if self.timer is not None:
             self.timer.cancel()
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -42,7 +42,7 @@
         "node_list_address": "127.0.0.1:8500", "known_version": 7,
         "known": tuple(node(n) for n in range(1, nodes + 1)), "dial_timeout": timedelta(milliseconds=250),
         "idle_limit": timedelta(seconds=9), "counter_timeout": timedelta(milliseconds=80),
-        "most_lines": 400, "most_orders": 400,
+        "most_lines": 400, "most_orders": 400, "most_clients": 400,
     }  # fmt: skip
     return House(**{**told, **changes})
 
@@ -85,7 +85,7 @@
         self.number += 1
         method, target = ("GET", "/stock-check") if kind == CHECK else ("POST", "/place-order")
         errand = ev.Errand(method, target, f"id-{self.number}", (), b"")
-        self.step(ev.OrderTaken(self.number, errand, kind, 0, account, left, units, 2, 0, False))
+        self.step(ev.OrderTaken(self.number, errand, kind, 0, account, left, units, 2, 0, False, self.number))
         self.bring_up()
         return self.number
 
--- a/tests/test_line_states.py
+++ b/tests/test_line_states.py
@@ -54,7 +54,8 @@
         errand = ev.Errand("GET", "/stock-check", f"id-{self.desk.number}", (), b"")
         self.open_orders.add(self.desk.number)
         self.desk.step(ev.OrderTaken(self.desk.number, errand, kind, 0, self.desk.number,
-                                     timedelta(milliseconds=left), 1.0, 2, 0, False))  # fmt: skip
+                                     timedelta(milliseconds=left), 1.0, 2, 0, False,
+                                     self.desk.number))  # fmt: skip
         for n in range(self.read, 10**9):  # the counter's calls and their answers' own
             if n == len(self.desk.out):
                 break
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -112,6 +112,54 @@
     asyncio.run(scene())
 
 
+def test_a_new_configuration_moves_counter_and_node_list_and_stops_nothing() -> None:
+    # Guards against ending on SIGHUP, and against going on with addresses that are left.
+    async def scene() -> None:
+        async with (
+            town_with(lambda r, w: town.OK) as (ingress, _, quotas),
+            town.party(town.counter()) as (quota_at, new_quotas),
+            town.party(town.silent) as (list_at, new_lists),
+        ):
+            assert status(await ingress.ask("POST", "/place-order")) == 200
+            await ingress.reconfigure(counter=quota_at, discovery=list_at)
+            seen = len(quotas.requests)
+            assert status(await ingress.ask("POST", "/place-order")) == 200
+            assert new_quotas.requests and len(quotas.requests) == seen
+            while not new_lists.requests:
+                await asyncio.sleep(0.01)
+            assert new_lists.requests[0].startswith(b"GET /v1/endpoints HTTP/1.1")
+            ingress.path.write_text('{"half')
+            ingress.process.send_signal(signal.SIGHUP)
+            assert ingress.process.stderr is not None
+            assert b"going on as before" in await ingress.process.stderr.readline()
+            assert status(await ingress.ask("POST", "/place-order")) == 200
+
+    asyncio.run(scene())
+
+
+SILENT = {
+    "nothing": b"",
+    "half a head": b"GET /stock-check HTTP/1.1\r\nX-",
+    "half a body": town.request("POST", "/place-order", b"abc")[:-1],
+}
+
+
+def test_clients_that_ask_nothing_whole_are_closed() -> None:
+    async def scene() -> None:
+        async with town_with(lambda r, w: town.OK) as (ingress, nodes, _):
+            ends = []
+            for data in SILENT.values():
+                reader, writer = await asyncio.open_connection(*ingress.address)
+                writer.write(data)
+                ends.append((reader, writer))
+            for reader, writer in ends:
+                assert await asyncio.wait_for(reader.read(), 30) == b""
+                writer.close()
+            assert not nodes.requests
+
+    asyncio.run(scene())
+
+
 BAD = {
     "an unknown kind": (town.request("GET", "/nothing"), 404),
     "another method": (town.request("GET", "/place-order"), 400),
--- a/tests/town.py
+++ b/tests/town.py
@@ -109,6 +109,16 @@
 class Ingress:
     address: tuple[str, int]
     process: asyncio.subprocess.Process
+    config: dict[str, Any]
+    path: Path
+
+    async def reconfigure(self, **changes: Any) -> None:
+        """Replaces the configuration's file and says so; returns once that has been logged."""
+        self.path.write_text(json.dumps({**self.config, **changes}))
+        self.process.send_signal(signal.SIGHUP)
+        assert self.process.stderr is not None
+        while b"reload" not in await asyncio.wait_for(self.process.stderr.readline(), 60):
+            assert self.process.returncode is None
 
     async def raw(self, data: bytes) -> bytes:
         """What comes back on a connection of its own, up to its end or a whole answer."""
@@ -158,7 +168,7 @@
         try:
             assert process.stderr is not None
             assert b"ready" in await asyncio.wait_for(process.stderr.readline(), 60)
-            yield Ingress(("127.0.0.1", port), process)
+            yield Ingress(("127.0.0.1", port), process, config, path)
         finally:
             if process.returncode is None:
                 with contextlib.suppress(ProcessLookupError):
