Tell spoilt answers from good ones byte by byte, and turn away impossible terms

A second copy could have been taken for the next request's answer (payload.on_eof in wire/line.py reported in the middle of a parse).

Checked: the surplus is always a whole copy or exactly 52 bytes, so the length in the head is to be trusted; 1xx answers and unreadable reports were handled. aiohttp's stream calls data_received(b"") after each answer; that is now skipped.

Also: terms, times and ids are checked strictly; the id of an open order is not taken twice; a kept connection is looked at before it is used again.

--- a/opalgauge/lifecycle/config.py
+++ b/opalgauge/lifecycle/config.py
@@ -91,6 +91,8 @@
         trade = Trade(
             [(str(c["name"]), c.get("effect") == "retryable") for c in told_settings["classes"]],
             [str(t["name"]) for t in told_settings["tiers_of_service"]],
+            settings.most_units,
+            settings.gateways,
         )
         listen = _address(environ.get("BALANCER_LISTEN") or str(told["listen"]))
         return Config(str(told.get("name", "")), listen, house, trade, zones)
--- a/opalgauge/memory/events.py
+++ b/opalgauge/memory/events.py
@@ -83,6 +83,13 @@
     reached: Reached
 
 
+@dataclass(slots=True)
+class LineStale:
+    """A kept connection turned out to be over before anything was written to it."""
+
+    line: int
+
+
 @dataclass(slots=True)
 class NodeAnswered:
     """A stock node answered an attempt or a probe. `keep`: the connection can carry another."""
@@ -153,6 +160,7 @@
     | ClientLeft
     | LineUp
     | LineEnded
+    | LineStale
     | NodeAnswered
     | CounterAnswered
     | NodeListAnswered
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -43,6 +43,7 @@
             ev.ClientLeft: self._client_left,
             ev.LineUp: self._line_up,
             ev.LineEnded: self._line_ended,
+            ev.LineStale: self._line_stale,
             ev.NodeAnswered: self._node_answered,
             ev.CounterAnswered: self._counter_answered,
             ev.NodeListAnswered: self._node_list_answered,
@@ -121,9 +122,18 @@
             self.out.append(fx.AnswerClient(event.order, 429, retry_after=retry, last=books.draining))
             self._keep(event.client)
             return
+        if event.errand.correlation in books.open_ids:
+            # Guards an open order against another client's request under its id: what comes back for one
+            # could not be told from what comes back for the other.
+            self.out.append(fx.AnswerClient(event.order, 400, last=books.draining))
+            self._keep(event.client)
+            return
+        books.open_ids.add(event.errand.correlation)
         kind = house.settings.classes[event.kind]
-        answer_by = self.now + max(event.time_left - house.guard_margin, event.time_left / 2)
-        budget = max(event.time_left - house.answer_margin, event.time_left / 4)
+        # Guards against clients that claim to wait for an hour: nobody waits longer than a kind's deadline.
+        time_left = min(event.time_left, timedelta(seconds=kind.deadline))
+        answer_by = self.now + max(time_left - house.guard_margin, time_left / 2)
+        budget = max(time_left - house.answer_margin, time_left / 4)
         books.orders[event.order] = Order(
             event.order, event.errand, kind.effect is i.Effect.SAFE, answer_by, event.client
         )
@@ -162,8 +172,8 @@
         books.silent.pop(event.client, None)
         books.kept.pop(event.client, None)
         number = books.asking.pop(event.client, None)
-        if number is not None and number in books.orders:
-            del books.orders[number]
+        if number is not None and (order := books.orders.pop(number, None)):
+            books.open_ids.discard(order.errand.correlation)
             self.news.append(i.ClientGone(number))
 
     def _keep(self, client: int) -> None:
@@ -202,6 +212,7 @@
     def _answer(self, number: int, status: int, **more: Any) -> None:
         """The one final answer: an order that is answered is no longer held, so there is no second."""
         if order := self.books.orders.pop(number, None):
+            self.books.open_ids.discard(order.errand.correlation)
             self.out.append(fx.AnswerClient(number, status, last=self.books.draining, **more))
             if self.books.asking.pop(order.client, None) is not None:
                 self._keep(order.client)
@@ -374,6 +385,22 @@
             self._forget(line)
             self._lost(line, event.reached)
 
+    def _line_stale(self, event: ev.LineStale) -> None:
+        """Nothing has left: what was to go over it goes over another, and nobody else hears of it."""
+        line = self.books.lines.get(event.line)
+        if line is None:
+            return
+        self._forget(line)
+        if line.party is fx.Party.NODE_LIST:
+            self._ask_list()
+        elif line.party is fx.Party.STOCK_NODE:
+            if attempt := line.attempt:
+                line.attempt = None
+                self._carry(attempt)
+        else:
+            place = line.written[0].name % self.house.counter_lines
+            self._open_counter(place).waiting.extend(line.written)
+
     def _lost(self, line: Line, reached: ev.Reached) -> None:
         if line.party is fx.Party.STOCK_NODE:
             if attempt := line.attempt:
@@ -424,14 +451,19 @@
             self._counter_line_lost(line)
             line = None
         if line is None:
-            line = books.counter[place] = self._open(fx.Party.QUOTA_COUNTER, books.counter_address)
-            self._at(self.now + house.dial_timeout, self._dial_over, line.number)
+            line = self._open_counter(place)
         if line.stage is Stage.OPENING:
             line.waiting.append(call)
         else:
             self._write_call(line, call)
         self._at(self.now + house.counter_timeout, self._counter_late, line, call)
 
+    def _open_counter(self, place: int) -> Line:
+        line = self._open(fx.Party.QUOTA_COUNTER, self.books.counter_address)
+        self.books.counter[place] = line
+        self._at(self.now + self.house.dial_timeout, self._dial_over, line.number)
+        return line
+
     def _write_call(self, line: Line, call: CounterCall) -> None:
         line.written.append(call)
         self.out.append(fx.CallCounter(line.number, call.name, call.amount, call.life))
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -111,6 +111,7 @@
     counter_address: str
     node_list_address: str
     orders: dict[int, Order] = field(default_factory=dict)
+    open_ids: set[str] = field(default_factory=set)  # of the orders
     # Connections from clients: those that have asked nothing yet, those that wait for an answer (and for
     # which), and those kept after one. The first and the last say since when, the longest first.
     silent: dict[int, datetime] = field(default_factory=dict)
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import math
 import re
 from collections.abc import Callable
 from datetime import timedelta
@@ -22,6 +21,8 @@
 MOST_ACCOUNT = 2**33
 LONGEST = 3600.0  # s: nobody waits longer for an answer
 CONTENT = ("Content-Type", "Content-Encoding")  # what says how a body is to be read goes with it
+PLAIN = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+IDENTITY = re.compile(r"[!-~]{1,128}")  # visible ASCII
 ACCOUNT = re.compile(r"(?:^|;)\s*customer=([0-9a-fA-F]{1,16})\s*(?:;|$)")
 
 # Whatever a client sends, aiohttp answers it; its words on that would fill the log.
@@ -38,25 +39,38 @@
 
 
 class Trade:
-    """The deployment's own names for kinds of request and tariffs, in the order of its settings."""
+    """The deployment's own names for kinds of request and tariffs, in the order of its settings.
 
-    def __init__(self, kinds: list[tuple[str, bool]], tariffs: list[str]) -> None:
+    And what an order's terms can be: units up to `most_units`, a set among `ingresses`.
+    """
+
+    def __init__(
+        self, kinds: list[tuple[str, bool]], tariffs: list[str], most_units: float, ingresses: int
+    ) -> None:
+        self.most_units, self.ingresses = most_units, ingresses
         self.kinds = {name: (number, "GET" if safe else "POST") for number, (name, safe) in enumerate(kinds)}
         self.tariffs = {name: number for number, name in enumerate(tariffs)}
 
 
-def read_terms(text: str) -> tuple[float, int, int]:
-    """Units, and the ingresses of the account; a request that tells none counts one unit."""
-    told = {"units": 1.0, "spread": 1.0, "first": 0.0}
-    for part in filter(None, text.split(",")):
-        name, _, value = part.partition("=")
-        if name.strip() in told:
-            told[name.strip()] = float(value)
-    if not all(math.isfinite(v) for v in told.values()) or not 0 < told["units"] <= 1e6:
-        raise ValueError("terms out of range")
-    if not 1 <= told["spread"] <= 1e6 or not 0 <= told["first"] <= 1e6:
+def read_number(text: str) -> float:
+    """A plain decimal; `float` alone would also take `nan`, `1_0` and digits of other scripts."""
+    if not PLAIN.fullmatch(text):
+        raise ValueError("not a plain number")
+    return float(text)
+
+
+def read_terms(text: str, trade: Trade) -> tuple[float, int, int]:
+    """Units, and the ingresses of the account.
+
+    Guards an account's quota, and its part of the ceiling at this ingress, against terms that are impossible,
+    in whoever's name they come.
+    """
+    told = dict(part.split("=", 1) for part in text.replace(" ", "").split(",") if "=" in part)
+    units = read_number(told.get("units", ""))
+    spread, first = int(read_number(told.get("spread", ""))), int(read_number(told.get("first", "")))
+    if not 0 < units <= trade.most_units or not (1 <= spread <= trade.ingresses and first < trade.ingresses):
         raise ValueError("terms out of range")
-    return told["units"], int(told["spread"]), int(told["first"])
+    return units, spread, first
 
 
 def read_order(request: web.BaseRequest, number: int, client: int, body: bytes, trade: Trade) -> OrderTaken:
@@ -67,14 +81,16 @@
         raise Malformed(404, "no such kind of request")
     if request.method != kind[1]:
         raise Malformed(400, "not this kind's method")
+    if kind[1] == "GET" and body:
+        raise Malformed(400, "a body where there is none")
     correlation = headers.get("X-Correlation-Id", "")
     account = ACCOUNT.search(headers.get("Cookie", ""))
     tariff = trade.tariffs.get(headers.get("X-Tier", ""))
-    if not correlation or account is None or tariff is None:
+    if not IDENTITY.fullmatch(correlation) or account is None or tariff is None:
         raise Malformed(400, "id, account or tariff missing")
     try:
-        left = float(headers.get("X-Time-Left", ""))
-        units, spread, first = read_terms(headers.get("X-Call-Terms", ""))
+        left = read_number(headers.get("X-Time-Left", ""))
+        units, spread, first = read_terms(headers.get("X-Call-Terms", ""), trade)
     except ValueError:
         raise Malformed(400, "time left or terms unreadable") from None
     account_number = int(account[1], 16)
--- a/opalgauge/wire/exchange.py
+++ b/opalgauge/wire/exchange.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from opalgauge.memory import effects as fx
-from opalgauge.memory.events import Event, LineEnded, Reached, Woken
+from opalgauge.memory.events import Event, LineEnded, LineStale, Reached, Woken
 from opalgauge.memory.reducer import Reducer
 from opalgauge.wire import quota_counter, stock_nodes
 from opalgauge.wire.clients import Clients
@@ -63,7 +63,7 @@
 
     def report(self, event: Event) -> None:
         """Events are taken one at a time: one that comes while effects are carried out waits for them."""
-        if type(event) is LineEnded:
+        if type(event) is LineEnded or type(event) is LineStale:
             self.lines.pop(event.line, None)
             self.probing.discard(event.line)
         self.events.append(event)
--- a/opalgauge/wire/line.py
+++ b/opalgauge/wire/line.py
@@ -9,8 +9,8 @@
 
 import asyncio
 import contextlib
-import os
 import socket
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import cast
@@ -19,7 +19,7 @@
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
 
-from opalgauge.memory.events import Event, LineEnded, LineUp, Reached
+from opalgauge.memory.events import Event, LineEnded, LineStale, LineUp, Reached
 
 MOST_BODY = 64 * 1024  # bytes: no message holds more
 MOST_LIST = 4 * 1024 * 1024  # bytes: nor is a node list longer
@@ -35,7 +35,10 @@
     keep: bool
 
 
+END = b"\r\n\r\n"  # of a head, and of an answer in chunks
+
 Understand = Callable[[int, Reply], Event]
+Answer = tuple[RawResponseMessage, StreamReader]
 
 
 class LineProtocol(BaseProtocol):
@@ -51,19 +54,27 @@
     ) -> None:
         super().__init__(loop)
         self.number, self.report, self.understand, self.most = number, report, understand, most
-        self.parser = HttpResponseParser(
-            self, loop, 2 * most, max_line_size=8190, max_field_size=8190, auto_decompress=False,
-            read_until_eof=True,
-        )  # fmt: skip
+        self.parser = self._new_parser()
         self.reached = Reached.CONNECTING
-        self.over = False
-        self.pending: tuple[RawResponseMessage, StreamReader] | None = None
+        self.over = self.used = False
+        self.owed = 0  # answers to what was sent
+        self.begun: deque[Answer] = deque()  # answers whose last byte has not come
+        self.heard = b""  # all bytes of these
+        self.held: socket.socket | None = None  # the loop's own socket, only looked at
+
+    def _new_parser(self) -> HttpResponseParser:
+        return HttpResponseParser(
+            self, self._loop, 2 * self.most, max_line_size=8190, max_field_size=8190, auto_decompress=False,
+        )  # fmt: skip
 
     # --- asyncio's side ------------------------------------------------------------------------------------
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         line = cast(asyncio.Transport, transport)
         line.set_write_buffer_limits(high=0)  # so that `pause_writing` tells of every byte not yet written
+        with contextlib.suppress(OSError, ValueError, AttributeError):
+            own = line.get_extra_info("socket")
+            self.held = socket.socket(own.family, own.type, own.proto, fileno=own.fileno())
         self.reached = Reached.WRITING
         if self.over:
             line.abort()
@@ -81,56 +92,119 @@
     def data_received(self, data: bytes) -> None:
         if self.over:
             return
-        if self.reached is Reached.WRITTEN:
-            self.reached = Reached.ANSWERING
+        if not self.owed:
+            # Guards against noise and second copies behind an answer: they would be taken for the next one.
+            self._fault()
+            return
+        self.reached = Reached.ANSWERING
+        heard = self.heard + data if self.heard else data
         try:
             messages, upgraded, _ = self.parser.feed_data(data)
         except Exception:  # whatever the other side sent, it ends this connection and nothing else
-            self._fault()
+            self._told(self._whole_ones(heard), heard, False)
             return
         if upgraded:
             self._fault()
             return
-        for message, payload in messages:
-            if message.code < 200:
-                continue
-            self.pending = (message, payload)
-            if payload.is_eof():
-                self._answered()
-            else:
-                payload.on_eof(self._answered)
-        if self.pending and self.pending[1].total_bytes > self.most:
+        self.begun.extend(m for m in messages if m[0].code >= 200)
+        if not all(m[0].chunked or "Content-Length" in m[0].headers for m in messages if m[0].code >= 200):
+            self._fault()  # guards against an answer of which nobody can say whether it is whole
+            return
+        whole = []
+        while self.begun and self.begun[0][1].is_eof():
+            whole.append(self.begun.popleft())
+        self.heard = heard if self.begun or not whole else b""
+        self._told(whole, heard, len(whole) + len(self.begun) <= self.owed)
+        if len(self.heard) > 2 * self.most or self.begun and (
+            self.begun[0][1].total_bytes > self.most or self.begun[0][1].exception() is not None
+        ):
             self._fault()  # guards against an answer without end
 
-    def eof_received(self) -> None:
-        if self.over or self.pending is None:
-            return
-        try:
-            self.parser.feed_eof()  # an answer that has no length ends with its connection
-        except Exception:
+    def _told(self, whole: list[Answer], heard: bytes, sound: bool) -> None:
+        """Answers whose last byte has come. A connection that is not sound ends with the last of them."""
+        whole = whole[: self.owed]
+        for n, (message, payload) in enumerate(whole, 1):
+            self.owed -= 1
+            body = payload.read_nowait(-1)
+            if not (self.owed or self.begun or heard.endswith(body if body and not message.chunked else END)):
+                sound = False  # guards against the beginning of something that the parser has not refused yet
+            keep = not message.should_close and (sound or n < len(whole))
+            self.report(self.understand(self.number, Reply(message.code, message, body, keep)))
+            if self.over:
+                return
+        if not sound:
             self._fault()
 
+    def _whole_ones(self, heard: bytes) -> list[Answer]:
+        """The whole answers ahead of bytes that cannot be read: they are good, what follows them is not.
+
+        The parser drops them with the rest, so they are read once more, each no further than it says it goes.
+        """
+        whole: list[Answer] = []
+        parser, at = self._new_parser(), 0
+        with contextlib.suppress(Exception):
+            while len(whole) < self.owed and (end := heard.find(END, at) + 4) > 3:
+                (message, payload), *_ = parser.feed_data(heard[at:end])[0]
+                at = end
+                if message.code >= 200:
+                    at += int(message.headers["Content-Length"])
+                    parser.feed_data(heard[end:at])
+                    if not payload.is_eof():
+                        break
+                    whole.append((message, payload))
+        return whole
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        # Guards the hot path: aiohttp's stream says so after every answer, which costs a parse of nothing.
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         super().connection_lost(exc)
+        if self.held is not None:
+            self.held.detach()
+            self.held = None
         self._fault()
 
     # --- our side ------------------------------------------------------------------------------------------
     def send(self, data: bytes) -> None:
         if self.over or self.transport is None:
             return
+        if not self.owed and self.used and self._stale():
+            self.end()
+            self.report(LineStale(self.number))
+            return
+        self.owed += 1
+        self.used = True
         self.reached = Reached.WRITTEN  # unless `write` finds that some is left, and says so
         self.transport.write(data)
 
+    def _stale(self) -> bool:
+        """Whether there is something to read, or the end, on a connection on which nothing is owed.
+
+        Guards against writing to a connection that the other side has just closed, which would be a reset,
+        and against taking what it sent unasked for the answer; the loop may yet have to tell of either.
+        """
+        try:
+            if self.held is not None:
+                self.held.recv(1, socket.MSG_PEEK)
+            return True
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def end(self) -> None:
         """Ends the connection before anything else is sent on another; nothing more is reported."""
         self.over = True
         if self.transport is not None:
             # Guards against the loop's habit of closing a socket a turn later, when a further attempt would
             # already be out.
-            with contextlib.suppress(OSError, ValueError):
-                held = socket.socket(fileno=os.dup(self.transport.get_extra_info("socket").fileno()))
-                with held:
-                    held.shutdown(socket.SHUT_RDWR)
+            if self.held is not None:
+                with contextlib.suppress(OSError):
+                    self.held.shutdown(socket.SHUT_RDWR)
+                self.held.detach()
+                self.held = None
             self.transport.abort()
 
     def _fault(self) -> None:
@@ -138,13 +212,3 @@
             reached = self.reached
             self.end()
             self.report(LineEnded(self.number, reached))
-
-    def _answered(self) -> None:
-        if self.over or self.pending is None:
-            return
-        (message, payload), self.pending = self.pending, None
-        if payload.exception() is not None:
-            return  # the connection's end, which follows, tells of it
-        body = payload.read_nowait(-1)
-        keep = not message.should_close
-        self.report(self.understand(self.number, Reply(message.code, message, body, keep)))
--- a/opalgauge/wire/quota_counter.py
+++ b/opalgauge/wire/quota_counter.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import math
+import re
 from datetime import timedelta
 
 from opalgauge.memory.events import CounterAnswered
@@ -11,6 +11,8 @@
 
 MOST_AMOUNT = 1e9
 LONGEST_LIFE = timedelta(seconds=60)
+AWAY = (503, 400, 404)  # nothing was added
+TOTAL = re.compile(rb"\s*[-+]?(\d+(\.\d*)?|\.\d+)([eE][-+]?\d{1,2})?\s*")
 
 
 def call_bytes(name: int, amount: float, life: timedelta) -> bytes:
@@ -24,13 +26,10 @@
 
 
 def understand_total(line: int, reply: Reply) -> CounterAnswered:
-    """A call that was turned away, or was none, has added nothing."""
-    if reply.status != 200:
+    """A call that was turned away, or was none, has added nothing; whatever else cannot be read may have."""
+    if reply.status in AWAY:
         return CounterAnswered(line, End.FULL, 0.0, reply.keep)
-    try:
-        total = float(reply.body)
-    except ValueError:
-        total = math.nan  # added, but nobody knows to what
-    if not math.isfinite(total):
-        return CounterAnswered(line, End.ERROR, 0.0, reply.keep)
-    return CounterAnswered(line, End.OK, total, reply.keep)
+    if reply.status != 200 or not TOTAL.fullmatch(reply.body):
+        # Guards against waiting on a connection that is of no further use: its next calls would all time out.
+        return CounterAnswered(line, End.ERROR, 0.0, False)
+    return CounterAnswered(line, End.OK, float(reply.body), reply.keep)
--- a/opalgauge/wire/stock_nodes.py
+++ b/opalgauge/wire/stock_nodes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from datetime import timedelta
 
@@ -34,7 +35,7 @@
             report[name.strip()] = float(value)
         except ValueError:
             continue
-    return {k: v for k, v in report.items() if k in LOADS}
+    return {k: v for k, v in report.items() if k in LOADS and 0 <= v < math.inf}
 
 
 def understand_attempt(line: int, reply: Reply) -> NodeAnswered:
--- a/tests/test_client_lines.py
+++ b/tests/test_client_lines.py
@@ -49,8 +49,8 @@
     assert desk.order(CHECK, left=timedelta(seconds=8)) == 1
     desk.count(total=1.0)
     desk.read_last_window()
-    desk.pass_time(timedelta(seconds=7))
-    assert not closed(desk)
+    desk.pass_time(timedelta(milliseconds=1150))
+    assert not closed(desk) and not desk.answers
 
 
 def test_in_a_crowd_the_longest_silent_makes_room_first_then_the_longest_kept() -> None:
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -270,3 +270,42 @@
     desk.step(ev.NodeAnswered(line, i.End.OK, True, b""))
     assert desk.answers[-1].last
     assert fx.Leave() in desk.out
+
+
+def test_an_attempt_put_on_a_connection_that_is_over_goes_over_another_and_counts_once() -> None:
+    desk = Desk(nodes=1)
+    desk.admit(PLACE)
+    old = desk.attempt().line
+    desk.step(ev.NodeAnswered(old, i.End.OK, True, b""))
+    desk.admit(PLACE)
+    assert desk.attempt().line == old
+    heard = desk.listen()
+    desk.step(ev.LineStale(old))
+    desk.bring_up()
+    new = desk.attempt().line
+    assert new != old and not [e for e in heard if isinstance(e, i.Outcome)]
+    desk.step(ev.NodeAnswered(new, i.End.OK, True, b""))
+    assert desk.answers[-1].status == 200
+    assert [(e.attempt, e.end) for e in heard if isinstance(e, i.Outcome)] == [(0, i.End.OK)]
+
+
+def test_a_call_put_on_a_counter_connection_that_is_over_goes_over_another() -> None:
+    desk = Desk()
+    desk.admit(CHECK)
+    desk.order(CHECK, account=1000)
+    call = desk.counter_call()
+    heard = desk.listen()
+    desk.step(ev.LineStale(call.line))
+    desk.bring_up()
+    again = desk.counter_call()
+    assert (again.name, again.amount) == (call.name, call.amount) and again.line != call.line
+    desk.count(total=2.0)
+    assert [e.end for e in heard if isinstance(e, i.Counted)] == [i.End.OK]
+
+
+def test_nobody_waits_longer_than_the_deadline_of_the_kind() -> None:
+    # Guards the memory too: what an order leaves behind is kept until its time is up.
+    desk = Desk()
+    desk.order(CHECK, left=timedelta(hours=1))
+    desk.pass_time(timedelta(milliseconds=1250))
+    assert desk.answers and not desk.reducer.books.orders and not desk.reducer.books.open_ids
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -160,6 +160,7 @@
     asyncio.run(scene())
 
 
+CHUNKS = "Transfer-Encoding: chunked\r\n"
 BAD = {
     "an unknown kind": (town.request("GET", "/nothing"), 404),
     "another method": (town.request("GET", "/place-order"), 400),
@@ -171,7 +172,18 @@
     "an account that is none": (town.request("GET", "/stock-check").replace(b"b4d6", b"zzzz"), 400),
     "units that are none": (town.request("GET", "/stock-check").replace(b"units=2", b"units=nan"), 400),
     "spread that is none": (town.request("GET", "/stock-check").replace(b"spread=2", b"spread=inf"), 400),
+    "too many units": (town.request("GET", "/stock-check").replace(b"units=2", b"units=4"), 400),
+    "no units": (town.request("GET", "/stock-check").replace(b"units=2", b"units=0"), 400),
+    "units in other digits": (town.request("GET", "/stock-check").replace(b"units=2", b"units=1_0"), 400),
+    "a set too wide": (town.request("GET", "/stock-check").replace(b"spread=2", b"spread=3"), 400),
+    "a set from nowhere": (town.request("GET", "/stock-check").replace(b"first=0", b"first=2"), 400),
+    "no terms": (town.request("GET", "/stock-check").replace(b"X-Call-Terms", b"X-Other"), 400),
+    "no id": (town.request("GET", "/stock-check", name=""), 400),
+    "a body where there is none": (town.request("GET", "/stock-check", b"abc"), 400),
+    "a length and chunks": (town.request("POST", "/place-order", b"abc", CHUNKS), 400),
+    "a negative length": (town.request("POST", "/place-order", more="Content-Length: -1\r\n"), 400),
     "no HTTP": (b"\x16\x03\x01 what is this\r\n\r\n", 400),
+    "far too much to send": (town.request("POST", "/place-order", more="Content-Length: 60000000\r\n"), 413),
     "two lengths": (town.request("POST", "/place-order", b"abc", "Content-Length: 9\r\n"), 400),
     "too much": (town.request("POST", "/place-order", b"x" * 70_000), 413),
 }
@@ -189,6 +201,27 @@
     asyncio.run(scene())
 
 
+def test_a_request_under_the_id_of_an_open_one_is_turned_away_and_harms_it_not() -> None:
+    release = asyncio.Event()
+
+    async def node(_: bytes, __: asyncio.StreamWriter) -> bytes:
+        await release.wait()
+        return town.OK
+
+    async def scene() -> None:
+        async with town_with(node) as (ingress, nodes, _):
+            first = asyncio.create_task(ingress.raw(town.request("POST", "/place-order", left="3.0")))
+            while not nodes.requests:
+                await asyncio.sleep(0.01)
+            assert status(await ingress.ask("GET", "/stock-check")) == 400
+            release.set()
+            assert status(await first) == 200
+            assert len(nodes.requests) == 1
+            assert status(await ingress.ask("GET", "/stock-check")) == 200
+
+    asyncio.run(scene())
+
+
 def test_a_stock_node_that_talks_nonsense_costs_one_connection_only() -> None:
     served = 0
 
@@ -248,7 +281,7 @@
 
     async def scene() -> None:
         async with town_with(node) as (ingress, nodes, _):
-            slow = asyncio.create_task(ingress.raw(town.request("POST", "/place-order/slow", left="3.0")))
+            slow = asyncio.create_task(ingress.raw(town.request("POST", "/place-order/slow", name="slow")))
             while not nodes.requests:
                 await asyncio.sleep(0.01)
             idle_reader, idle_writer = await asyncio.open_connection(*ingress.address)
--- a/tests/test_wire_words.py
+++ b/tests/test_wire_words.py
@@ -50,7 +50,7 @@
 
 
 def test_load_reports_are_read_and_nonsense_in_them_left_out() -> None:
-    assert stock_nodes.load_report("inflight=7, util=0.61,latency_ms=x,=,new=3") == {
+    assert stock_nodes.load_report("inflight=7, util=0.61,latency_ms=x,=,new=3,qps=nan,eps=-1,queue=inf") == {
         "inflight": 7.0, "util": 0.61
     }  # fmt: skip
 
@@ -77,12 +77,15 @@
     ("answer", "end", "total"),
     [
         (reply(200, b"12.5"), i.End.OK, 12.5), (reply(503), i.End.FULL, 0.0), (reply(404), i.End.FULL, 0.0),
-        (reply(200, b"plenty"), i.End.ERROR, 0.0), (reply(200, b"inf"), i.End.ERROR, 0.0),
+        *[(reply(200, b), i.End.ERROR, 0.0) for b in (b"", b"plenty", b"inf", b"nan", b"1e", b"0x1", b"1_0")],
+        (reply(500), i.End.ERROR, 0.0), (reply(200, b"-1.5e3"), i.End.OK, -1500.0),
     ],
 )  # fmt: skip
 def test_counter_answers(answer: Reply, end: i.End, total: float) -> None:
     told = quota_counter.understand_total(1, answer)
     assert (told.end, told.total) == (end, total)
+    # Where it cannot be read the connection is of no further use, whatever its headers say.
+    assert told.keep is (end is not i.End.ERROR)
 
 
 def test_the_node_list_is_read_in_the_deployments_words() -> None:
--- a/tests/town.py
+++ b/tests/town.py
@@ -133,9 +133,16 @@
         return await self.raw(request(method, target, body, more))
 
 
-def request(method: str, target: str, body: bytes = b"", more: str = "", left: str = "1.0") -> bytes:
+def request(
+    method: str,
+    target: str,
+    body: bytes = b"",
+    more: str = "",
+    left: str = "1.0",
+    name: str = "9b1f03aa5c7e2d41",
+) -> bytes:
     head = (
-        f"{method} {target} HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: 9b1f03aa5c7e2d41\r\n"
+        f"{method} {target} HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: {name}\r\n"
         f"X-Tier: negoce\r\nCookie: customer=00000000b4d65521\r\nX-Time-Left: {left}\r\n"
         f"X-Call-Terms: units=2,spread=2,first=0\r\n{more}"
     )
