Give up answers that halt, and read again the total of a call that was added unheard

Ruled out: the counter's own pressure (calls on other connections took 5 ms in the same seconds).

An answer must now be whole 100 ms after its first bytes; one that announces more than such an answer can hold ends at once.

--- a/opalgauge/memory/events.py
+++ b/opalgauge/memory/events.py
@@ -90,6 +90,13 @@
     line: int
 
 
+@dataclass(slots=True)
+class AnswerBegun:
+    """An answer has begun to come, and its last byte has not come with the first."""
+
+    line: int
+
+
 @dataclass(slots=True)
 class NodeAnswered:
     """A stock node answered an attempt or a probe. `keep`: the connection can carry another."""
@@ -161,6 +168,7 @@
     | LineUp
     | LineEnded
     | LineStale
+    | AnswerBegun
     | NodeAnswered
     | CounterAnswered
     | NodeListAnswered
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -44,6 +44,7 @@
             ev.LineUp: self._line_up,
             ev.LineEnded: self._line_ended,
             ev.LineStale: self._line_stale,
+            ev.AnswerBegun: self._answer_begun,
             ev.NodeAnswered: self._node_answered,
             ev.CounterAnswered: self._counter_answered,
             ev.NodeListAnswered: self._node_list_answered,
@@ -401,6 +402,17 @@
             place = line.written[0].name % self.house.counter_lines
             self._open_counter(place).waiting.extend(line.written)
 
+    def _answer_begun(self, event: ev.AnswerBegun) -> None:
+        if line := self.books.lines.get(event.line):
+            line.begun = self.now
+            self._at(self.now + self.house.answer_patience, self._answer_halting, line, self.now)
+
+    def _answer_halting(self, line: Line, begun: datetime) -> None:
+        # Guards against answers that promise more than they bring: whatever else waits there waits in vain.
+        if line.number in self.books.lines and line.begun == begun:
+            self._close_line(line)
+            self._lost(line, ev.Reached.ANSWERING)
+
     def _lost(self, line: Line, reached: ev.Reached) -> None:
         if line.party is fx.Party.STOCK_NODE:
             if attempt := line.attempt:
@@ -427,7 +439,7 @@
         line = self.books.lines.get(event.line)
         if line is None:
             return
-        attempt = line.attempt
+        attempt, line.begun = line.attempt, None
         if event.keep and attempt is not None and line.node in self.books.nodes:
             self._rest(line)
         else:
@@ -495,6 +507,7 @@
         line = self.books.lines.get(event.line)
         if line is None:
             return
+        line.begun = None
         if line.written:
             self._tell_count(line.written.popleft(), event.end, event.total)
         if not event.keep:
@@ -541,7 +554,7 @@
         line = self.books.lines.get(event.line)
         if line is None:
             return
-        asked, line.since = line.since or self.now, None
+        asked, line.since, line.begun = line.since or self.now, None, None
         if event.nodes is None:
             # Guards against an answer that cannot be read: the whole list is asked for, after a pause.
             if self.books.list_heard:
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -35,6 +35,7 @@
     client_round: timedelta = timedelta(milliseconds=250)  # between looks at them
     counter_lines: int = 16  # of the 32 that the counter holds: room for those it has not yet seen closed
     counter_depth: int = 256  # calls without an answer on one connection
+    answer_patience: timedelta = timedelta(milliseconds=100)  # from an answer's first bytes to its last
     counter_patience: timedelta = timedelta(seconds=2)  # a counter connection silent so long is replaced
     list_wait: timedelta = timedelta(seconds=20)
     list_patience: timedelta = timedelta(seconds=21)
@@ -86,6 +87,7 @@
     node: int = 0
     attempt: Attempt | None = None
     since: datetime | None = None  # idle since
+    begun: datetime | None = None  # when an answer that is not whole yet began to come
     waiting: deque[CounterCall] = field(default_factory=deque)  # counter calls until the line is up
     written: deque[CounterCall] = field(default_factory=deque)  # counter calls without an answer
 
--- a/opalgauge/wire/exchange.py
+++ b/opalgauge/wire/exchange.py
@@ -13,7 +13,7 @@
 from opalgauge.memory.reducer import Reducer
 from opalgauge.wire import quota_counter, stock_nodes
 from opalgauge.wire.clients import Clients
-from opalgauge.wire.line import MOST_BODY, MOST_LIST, LineProtocol, Reply, Understand
+from opalgauge.wire.line import MOST_BODY, MOST_LIST, MOST_TOTAL, LineProtocol, Reply, Understand
 from opalgauge.wire.node_list import NodeListReader, question_bytes
 
 MOST_FAULTS = 20  # log lines: a defect that shows at every order must not fill the disk
@@ -98,7 +98,7 @@
         understand: Understand
         most = MOST_BODY
         if effect.party is fx.Party.QUOTA_COUNTER:
-            understand = quota_counter.understand_total
+            understand, most = quota_counter.understand_total, MOST_TOTAL
         elif effect.party is fx.Party.NODE_LIST:
             understand, most = self.node_list.understand, MOST_LIST
         else:
--- a/opalgauge/wire/line.py
+++ b/opalgauge/wire/line.py
@@ -19,9 +19,11 @@
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
 
-from opalgauge.memory.events import Event, LineEnded, LineStale, LineUp, Reached
+from opalgauge.memory.events import AnswerBegun, Event, LineEnded, LineStale, LineUp, Reached
 
 MOST_BODY = 64 * 1024  # bytes: no message holds more
+MOST_TOTAL = 64  # bytes: nor is a count's total longer
+MOST_HEAD = 16 * 1024  # bytes: nor is all that comes ahead of a body
 MOST_LIST = 4 * 1024 * 1024  # bytes: nor is a node list longer
 
 
@@ -56,7 +58,7 @@
         self.number, self.report, self.understand, self.most = number, report, understand, most
         self.parser = self._new_parser()
         self.reached = Reached.CONNECTING
-        self.over = self.used = False
+        self.over = self.used = self.halting = False
         self.owed = 0  # answers to what was sent
         self.begun: deque[Answer] = deque()  # answers whose last byte has not come
         self.heard = b""  # all bytes of these
@@ -106,19 +108,30 @@
         if upgraded:
             self._fault()
             return
-        self.begun.extend(m for m in messages if m[0].code >= 200)
-        if not all(m[0].chunked or "Content-Length" in m[0].headers for m in messages if m[0].code >= 200):
-            self._fault()  # guards against an answer of which nobody can say whether it is whole
-            return
+        for message, payload in messages:
+            if message.code < 200:
+                continue
+            length = message.headers.get("Content-Length")
+            if not message.chunked and (length is None or int(length) > self.most):
+                # Guards against what cannot be said to be whole, and what is far too long.
+                self._told(self._whole_ones(heard), heard, False)
+                return
+            self.begun.append((message, payload))
         whole = []
         while self.begun and self.begun[0][1].is_eof():
             whole.append(self.begun.popleft())
-        self.heard = heard if self.begun or not whole else b""
+        self.heard = b"" if whole else heard
+        halting = bool(self.begun) or not (whole or messages)  # a 1xx alone: the answer may take its time
         self._told(whole, heard, len(whole) + len(self.begun) <= self.owed)
-        if len(self.heard) > 2 * self.most or self.begun and (
-            self.begun[0][1].total_bytes > self.most or self.begun[0][1].exception() is not None
-        ):
-            self._fault()  # guards against an answer without end
+        if self.over:
+            return
+        body = self.begun[0][1] if self.begun else None
+        endless = len(self.heard) > self.most + MOST_HEAD or body is not None and body.total_bytes > self.most
+        if endless or body is not None and body.exception() is not None:
+            self._fault()  # guards against an answer without end, and chunks that cannot be read
+        elif halting and not self.halting:
+            self.report(AnswerBegun(self.number))
+        self.halting = halting
 
     def _told(self, whole: list[Answer], heard: bytes, sound: bool) -> None:
         """Answers whose last byte has come. A connection that is not sound ends with the last of them."""
@@ -148,6 +161,8 @@
                 at = end
                 if message.code >= 200:
                     at += int(message.headers["Content-Length"])
+                    if at > len(heard):
+                        break
                     parser.feed_data(heard[end:at])
                     if not payload.is_eof():
                         break
--- a/starlinggap/brain.py
+++ b/starlinggap/brain.py
@@ -47,6 +47,7 @@
 CALM = 1.5  # outcomes, at half the edge of shedding, that one gateway's few outcomes are mixed with
 RANKED = 200  # requests remembered to tell what worth is low
 HELD = 0.5  # of the aim: a request that nothing can take is held this long, then refused
+UNHEARD = (End.ERROR, End.RESET)  # a call to the counter that was added, but for the total
 BEYOND_ROOM = 0.5  # of the local ceiling, and of the aim, stays free of beyond-quota work
 
 
@@ -151,11 +152,11 @@
 class Call:
     """A counter call that has not been answered. `decided`: the verdict passed without its answer."""
 
-    __slots__ = ("customer", "window", "amount", "ride", "work", "decided", "back")
+    __slots__ = ("customer", "window", "amount", "ride", "work", "decided", "back", "again")
 
     def __init__(self, c: Customer, back: int, amount: float, ride: float, work: Work | None):
         self.customer, self.window, self.amount, self.ride = c, c.window - back, amount, ride
-        self.work, self.back = work, back > 0
+        self.work, self.back, self.again = work, back > 0, False  # again: its lost total is read once more
         self.decided: bool | None = None
 
 
@@ -332,9 +333,16 @@
             del self.calls[event.name]
         c, work = call.customer, call.work
         c.turn(self.now)
+        wanted = call.back or work and work.asking and call.decided is None
+        if event.end in UNHEARD and wanted and not call.again:
+            # It was added and nobody heard the total: that is read, as if it were the call's own answer.
+            call.again = True
+            self.calls.setdefault(event.name, deque()).append(call)
+            self.actions.append(i.Count(event.name, 0.0, min(LONGEST_NAME, TTL_WINDOWS * c.length)))
+            return
         jump = 2 * self.s.most_units * c.spread  # more than refunds in flight can make
         # A call with no answer is taken as counted, and taken back if its request was refused.
-        counted, total = event.end not in i.NEVER_RAN, math.nan
+        counted, total = call.again or event.end not in i.NEVER_RAN, math.nan
         if event.end is End.OK and math.isfinite(event.total) and event.total >= -jump:
             if event.took > self.s.counter_timeout * OWN_TIMEOUT:
                 self.call_failed()
@@ -344,7 +352,8 @@
                 self.ask = min(1.0, max(ASK_AGAIN, self.ask + ASK_UP)) if self.quick else self.ask * ASK_SLOW
             total = self.believe(c, call, max(0.0, event.total), jump)
         else:
-            self.call_failed()
+            if event.end not in UNHEARD:  # one answer that is spoilt or broken off is no sign of pressure
+                self.call_failed()
             if not counted:
                 self.owe(c, call.ride)
         if call.back:
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -99,3 +99,29 @@
     rig.at(2.0)
     rig.idle()
     assert sum(rig.totals.values()) == 0.0
+
+
+@pytest.mark.parametrize("end", [i.End.ERROR, i.End.RESET])
+@pytest.mark.parametrize(("before", "state"), [(1.0, "sent"), (8.0, "refused")])
+def test_a_total_that_was_lost_is_read_again_and_judged_as_the_calls_own(
+    end: i.End, before: float, state: str
+) -> None:
+    rig = Rig(settings(), answering=False)
+    rig.ask(units=2.0)
+    call = rig.counts.pop()
+    rig.totals[call.name] = before + call.amount
+    rig.give(i.Counted(call.name, 0.001, end))
+    assert [c.amount for c in rig.counts] == [0.0]
+    rig.answering = True
+    rig.give(rig.answer(rig.counts.pop()))
+    assert rig.last() == state
+    assert rig.totals[call.name] == before + (2.0 if state == "sent" else 0.0)
+    assert rig.gateway.ask == 1.0, "one lost total is no sign of pressure"
+
+
+def test_a_total_that_is_lost_twice_is_decided_without() -> None:
+    rig = Rig(settings(), answering=False)
+    rig.ask(units=2.0)
+    for _ in range(2):
+        rig.give(i.Counted(rig.counts.pop().name, 0.001, i.End.ERROR))
+    assert rig.last() == "sent" and not rig.gateway.calls
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -309,3 +309,28 @@
     desk.order(CHECK, left=timedelta(hours=1))
     desk.pass_time(timedelta(milliseconds=1250))
     assert desk.answers and not desk.reducer.books.orders and not desk.reducer.books.open_ids
+
+
+@pytest.mark.parametrize("rest", [True, False])
+def test_an_answer_that_begins_and_does_not_go_on_is_given_up_soon(rest: bool) -> None:
+    desk = Desk()
+    desk.admit(CHECK)
+    line = desk.attempt().line
+    desk.step(ev.AnswerBegun(line))
+    if rest:
+        desk.step(ev.NodeAnswered(line, i.End.OK, True, b""))
+    desk.pass_time(timedelta(milliseconds=110))
+    assert (fx.CloseLine(line) in desk.out) is not rest
+    assert [a.status for a in desk.answers] == ([200] if rest else [])
+    if not rest:
+        desk.bring_up()
+        assert desk.attempt().line != line, "a stock-check is sent again"
+
+
+def test_a_counter_answer_that_does_not_go_on_frees_the_calls_behind_it() -> None:
+    desk = Desk()
+    desk.order(CHECK)
+    line = desk.counter_call().line
+    desk.step(ev.AnswerBegun(line))
+    desk.pass_time(timedelta(milliseconds=110))
+    assert fx.CloseLine(line) in desk.out
