--- a/opalgauge/lifecycle/config.py
+++ b/opalgauge/lifecycle/config.py
@@ -16,6 +16,7 @@
 from starlinggap.benchlink import WireError, read_settings
 from starlinggap.interface import SettingsError
 
+DIAL_SHARE = 0.4  # of the time allowed for connecting: where a connection comes up, it takes a few ms
 IDLE_SHARE = 0.6  # of the time after which a stock node closes an idle connection
 SPARE_SOCKETS = 48  # listener, node list, quota counter, standard streams and the loop's own
 
@@ -81,7 +82,7 @@
             node_list_address=str(told.get("discovery") or environ["BALANCER_DISCOVERY"]),
             known_version=int(known.get("seq", 0)),
             known=read_nodes(known.get("hosts", ()), zones),
-            dial_timeout=timedelta(seconds=float(ceilings.get("dial_timeout", 0.25))),
+            dial_timeout=timedelta(seconds=DIAL_SHARE * float(ceilings.get("dial_timeout", 0.25))),
             idle_limit=keeps,
             counter_timeout=timedelta(seconds=settings.counter_timeout),
             most_lines=most_lines,
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -8,6 +8,7 @@
 
 import heapq
 from collections.abc import Callable
+from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
@@ -596,7 +597,28 @@
                 self._close_idle(number)
                 if new is None:
                     books.idle.pop(number, None)
-        self.news.append(i.ServerList(kind, tuple(n.entry for n in nodes)))
+        self.news.append(i.ServerList(kind, tuple(n.entry for n in nodes) + self._displaced()))
+
+    def _displaced(self) -> tuple[i.ServerEntry, ...]:
+        """Stock nodes at whose address a newer one stands: they are gone, whatever the list still says.
+
+        Guards a stock node that has just started against the share of the one before it, sent there as well.
+        """
+        books = self.books
+        newest: dict[str, ev.StockNode] = {}
+        out = []
+        for node in list(books.nodes.values()):
+            other = newest.get(node.address)
+            if other is not None:
+                older = node if node.entry.started < other.entry.started else other
+                del books.nodes[older.entry.server]
+                self._close_idle(older.entry.server)
+                books.idle.pop(older.entry.server, None)
+                out.append(replace(older.entry, health=i.Health.GONE))
+                if older is node:
+                    continue
+            newest[node.address] = node
+        return tuple(out)
 
     # --- new addresses -------------------------------------------------------------------------------------
     def _readdressed(self, event: ev.Readdressed) -> None:
--- a/starlinggap/brain.py
+++ b/starlinggap/brain.py
@@ -46,6 +46,7 @@
 PACE = 3.0  # s over which work done is averaged: long for one gateway's traffic, short beside a trouble
 CALM = 1.5  # outcomes, at half the edge of shedding, that one gateway's few outcomes are mixed with
 RANKED = 200  # requests remembered to tell what worth is low
+KEPT = 15.0  # s for which a customer not seen is remembered at least: many come only once
 HELD = 0.5  # of the aim: a request that nothing can take is held this long, then refused
 UNHEARD = (End.ERROR, End.RESET)  # a call to the counter that was added, but for the total
 BEYOND_ROOM = 0.5  # of the local ceiling, and of the aim, stays free of beyond-quota work
@@ -76,7 +77,7 @@
                  "prev_known", "reading", "waiting", "deficit", "stale", "others", "withheld", "at", "told",
                  "debt", "debt_at", "open", "room", "seen", "asked", "let_in", "heard", "denied")  # fmt: skip
 
-    def __init__(self, request: i.Request, plan: i.Plan, now: float) -> None:
+    def __init__(self, request: i.Request, plan: i.Plan, now: float, alive: float) -> None:
         self.id, self.plan, self.spread = request.customer, plan, max(1, request.spread)
         # A window lasts as long as the burst takes to fill, or as long as two names can be kept.
         self.length = min(plan.burst / plan.rate, LONGEST_NAME / TTL_WINDOWS) if plan.rate > 0 else 0.0
@@ -93,8 +94,8 @@
         self.told = self.denied = -math.inf
         self.open = 0
         # A ceiling is split evenly, so that no gateway needs to know of another. A new life starts with its
-        # part of the slack only: an earlier life may just have spent all the rest.
-        self.room = plan.ceiling_slack / self.spread
+        # part of the slack only: an earlier life may just have spent all the rest, which comes back since.
+        self.room = min(plan.ceiling_burst, plan.ceiling_slack + plan.ceiling_rate * alive) / self.spread
 
     def likely_prev(self, current: float, left: float) -> float:
         """The last window's total if use is steady: by this window's so far and what was seen earlier."""
@@ -139,7 +140,8 @@
         self.id, self.request, self.cls, self.customer = request.request, request, cls, customer
         self.deadline = now + max(0.0, request.budget)
         self.aim = min(cls.aim, max(request.budget, GLANCE))  # an impatient client wants it sooner
-        self.held_until = min(now + HELD * cls.aim, self.deadline - 2 * GLANCE)
+        # Not for half its time: a refusal that late does harm.
+        self.held_until = min(now + HELD * min(cls.aim, 0.8 * request.budget), self.deadline - 2 * GLANCE)
         self.attempts: list[Attempt] = []
         self.live: dict[int, int] = {}  # attempts out, and where
         self.risky_at, self.risky = math.inf, -1  # first attempt that may have run: its time and server
@@ -179,6 +181,7 @@
         check(settings)
         self.s, self.rng = settings, random.Random(seed)
         self.now, self.actions = 0.0, list[Action]()
+        self.born = math.inf  # when the first events came: nothing was sent on in this life before
         self.customers: OrderedDict[int, Customer] = OrderedDict()
         self.work: dict[int, Work] = {}
         self.servers: dict[int, Server] = {}
@@ -211,6 +214,7 @@
     def handle(self, now: float, events: list[i.Event]) -> list[Action]:
         """Decides on what happened at `now`; the caller carries the actions out in their order."""
         self.now, self.actions = max(now, self.now), []
+        self.born = min(self.born, self.now)
         # What forbids something is heard first: a drain counts from the moment that it was told.
         for event in events:
             if isinstance(event, i.ServerList):
@@ -266,7 +270,7 @@
         cls, plan = s.classes[request.cls % len(s.classes)], s.plans[request.plan % len(s.plans)]
         c = self.customers.get(request.customer)
         if c is None:
-            c = self.customers[request.customer] = Customer(request, plan, self.now)
+            c = self.customers[request.customer] = Customer(request, plan, self.now, self.now - self.born)
         self.customers.move_to_end(request.customer)
         c.turn(self.now)
         c.seen = self.now
@@ -772,7 +776,8 @@
                     self.post(c, 0.0, None)
         while self.customers:
             c = next(iter(self.customers.values()))
-            if self.now - c.seen < LONGEST_NAME or c.open or c.waiting:
+            # All that it was told is over by then, and its part of the ceiling full: a new one is as good.
+            if self.now - c.seen < max(KEPT, TTL_WINDOWS * c.length) or c.open or c.waiting:
                 break
             del self.customers[c.id]
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -125,3 +125,24 @@
     for _ in range(2):
         rig.give(i.Counted(rig.counts.pop().name, 0.001, i.End.ERROR))
     assert rig.last() == "sent" and not rig.gateway.calls
+
+
+def test_a_customer_met_late_has_the_part_of_the_ceiling_that_has_come_back_since_the_start() -> None:
+    plan = i.Plan(rate=2.0, burst=8.0, ceiling_rate=4.0, ceiling_burst=16.0, ceiling_slack=2.0)
+    rig = Rig(settings(plans=(plan,)))
+    assert [rig.ask(units=1.0, customer=1) for _ in range(2)] == ["sent", "refused"]
+    rig.finish()
+    rig.at(2.0)
+    assert [rig.ask(units=1.0, customer=2) for _ in range(6)] == ["sent"] * 5 + ["refused"]
+
+
+def test_customers_that_come_once_are_not_remembered() -> None:
+    # Guards the memory: a day has many that never come again.
+    rig = Rig(settings())
+    for n in range(200):
+        rig.at(n * 0.2)
+        rig.ask(customer=1000 + n)
+        rig.finish()
+    assert len(rig.gateway.customers) < 90
+    rig.at(80.0)
+    assert not rig.gateway.customers
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -334,3 +334,20 @@
     desk.step(ev.AnswerBegun(line))
     desk.pass_time(timedelta(milliseconds=110))
     assert fx.CloseLine(line) in desk.out
+
+
+@pytest.mark.parametrize("kind", [i.ListKind.CHANGES, i.ListKind.WHOLE])
+def test_a_new_stock_node_at_an_old_ones_address_takes_its_place(kind: i.ListKind) -> None:
+    desk = Desk(nodes=1)
+    desk.admit(CHECK)
+    line = desk.attempt().line
+    desk.step(ev.NodeAnswered(line, i.End.OK, True, b""))
+    heard = desk.listen()
+    old, new = node(1), ev.StockNode(node(1).address, i.ServerEntry(9, i.Health.READY, started=1.0))
+    told = (old, new) if kind is i.ListKind.WHOLE else (new,)
+    desk.step(ev.NodeListAnswered(desk.list_question().line, True, 8, kind, told))
+    assert fx.CloseLine(line) in desk.out
+    assert set(desk.reducer.books.nodes) == {9}
+    entries = [e for e in heard if isinstance(e, i.ServerList)][-1].entries
+    assert [e.health for e in entries if e.server == 1][-1] is i.Health.GONE
+    assert desk.reducer.gateway.ready == [9]
