Ask the node list for 1 s at a time, so that a watch that died in silence is noticed

A trace of the node list connection shows one question at 1.7 s, with timeout_ms=20000, and nothing until the reducer gave it up at 22.7 s; a new connection then had the whole list in 0.2 ms. At fault: list_wait of 20 s and list_patience of 21 s in memory/state.py, which is as long as a silent death goes unnoticed.

Ruled out: a silent agent (a new connection is answered at once) and an unreadable list.

--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -37,8 +37,9 @@
     counter_depth: int = 256  # calls without an answer on one connection
     answer_patience: timedelta = timedelta(milliseconds=100)  # from an answer's first bytes to its last
     counter_patience: timedelta = timedelta(seconds=2)  # a counter connection silent so long is replaced
-    list_wait: timedelta = timedelta(seconds=20)
-    list_patience: timedelta = timedelta(seconds=21)
+    # A watch that has died in silence is known by this alone: an agent that lives answers within the wait.
+    list_wait: timedelta = timedelta(seconds=1)
+    list_patience: timedelta = timedelta(milliseconds=1300)
     list_pause: timedelta = timedelta(milliseconds=100)  # a watch lasts if it is asked again within 200 ms
     answer_margin: timedelta = timedelta(milliseconds=25)  # the decisions are told so much less time
     wake_slack: timedelta = timedelta(milliseconds=3)  # the wake-up comes so late at most
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -351,3 +351,13 @@
     entries = [e for e in heard if isinstance(e, i.ServerList)][-1].entries
     assert [e.health for e in entries if e.server == 1][-1] is i.Health.GONE
     assert desk.reducer.gateway.ready == [9]
+
+
+def test_a_watch_that_died_in_silence_is_noticed_within_two_seconds() -> None:
+    desk = Desk()
+    first = desk.list_question()
+    assert first.wait <= timedelta(seconds=1), "an agent that lives has answered by then"
+    desk.pass_time(timedelta(milliseconds=1500))
+    desk.bring_up()
+    assert fx.CloseLine(first.line) in desk.out
+    assert desk.list_question().line != first.line and desk.list_question().since == first.since
