Replace a counter connection that is silent while others answer after 0.2 s

Such a connection is replaced once a later call was answered elsewhere; a counter that is silent as a whole still has 2 s.

--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -496,19 +496,26 @@
             self._tell_count(call, i.End.CONNECT_FAILED)
             return
         self._tell_count(call, i.End.TIMEOUT)
-        self._at(call.made + self.house.counter_patience, self._counter_silent, line, call)
+        self._at(call.made + self.house.counter_doubt, self._counter_silent, line, call)
 
     def _counter_silent(self, line: Line, call: CounterCall) -> None:
-        # Guards against a connection that died unseen: a late answer is waited for, but not for ever.
-        if line.number in self.books.lines and line.written and line.written[0] is call:
+        # Guards against a connection that died unseen: a late answer is waited for, but not for ever, and not
+        # while the counter answers elsewhere what it was asked later.
+        if line.number not in self.books.lines or not line.written or line.written[0] is not call:
+            return
+        house, heard = self.house, self.books.counter_heard
+        lives = heard is not None and heard - call.made > house.counter_timeout
+        if lives or self.now - call.made >= house.counter_patience:
             self._close_line(line)
             self._counter_line_lost(line)
+        else:
+            self._at(self.now + house.counter_doubt, self._counter_silent, line, call)
 
     def _counter_answered(self, event: ev.CounterAnswered) -> None:
         line = self.books.lines.get(event.line)
         if line is None:
             return
-        line.begun = None
+        line.begun, self.books.counter_heard = None, self.now
         if line.written:
             self._tell_count(line.written.popleft(), event.end, event.total)
         if not event.keep:
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -37,6 +37,7 @@
     counter_depth: int = 256  # calls without an answer on one connection
     answer_patience: timedelta = timedelta(milliseconds=100)  # from an answer's first bytes to its last
     counter_patience: timedelta = timedelta(seconds=2)  # a counter connection silent so long is replaced
+    counter_doubt: timedelta = timedelta(milliseconds=200)  # one that is silent while others answer, so long
     # A watch that has died in silence is known by this alone: an agent that lives answers within the wait.
     list_wait: timedelta = timedelta(seconds=1)
     list_patience: timedelta = timedelta(milliseconds=1300)
@@ -125,6 +126,7 @@
     lines: dict[int, Line] = field(default_factory=dict)
     idle: dict[int, list[int]] = field(default_factory=dict)  # by stock node, the longest idle first
     nodes: dict[int, StockNode] = field(default_factory=dict)
+    counter_heard: datetime | None = None  # when the counter last answered, on any connection
     counter: dict[int, Line] = field(default_factory=dict)  # by place among the counter's lines
     node_lines: int = 0
     list_version: int | None = None
