End connections with their first answer while a crowd asks once and stays

Counts in the reducer: 124 to 128 connections kept and asking and 64 silent at all times, 13 to 17 orders in 0.25 s, nearly all of them the first on a new connection; the decisions refused only 10 to 20 a second of what they saw.

Ruled out: the decisions (ask 1.0, nothing shed), our own bound (nobody was turned away), CPU. The clients may hold a third of the descriptors, 128, and those that ask once and stay held them for up to kept_limit, 5 s (memory/state.py).

A connection used again is left alone.

--- a/opalgauge/lifecycle/config.py
+++ b/opalgauge/lifecycle/config.py
@@ -16,6 +16,7 @@
 from starlinggap.benchlink import WireError, read_settings
 from starlinggap.interface import SettingsError
 
+CROWD = 3  # part of the clients' connections
 DIAL_SHARE = 0.4  # of the time allowed for connecting: where a connection comes up, it takes a few ms
 IDLE_SHARE = 0.6  # of the time after which a stock node closes an idle connection
 SPARE_SOCKETS = 48  # listener, node list, quota counter, standard streams and the loop's own
@@ -88,6 +89,7 @@
             most_lines=most_lines,
             most_orders=max(16, min(int(ceilings.get("max_open", 20000)), most_clients)),
             most_clients=most_clients,
+            crowd=most_clients // CROWD,
         )
         trade = Trade(
             [(str(c["name"]), c.get("effect") == "retryable") for c in told_settings["classes"]],
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -117,7 +117,7 @@
     def _order_taken(self, event: ev.OrderTaken) -> None:
         house, books = self.house, self.books
         books.silent.pop(event.client, None)
-        books.kept.pop(event.client, None)
+        first = books.kept.pop(event.client, None) is None
         if len(books.orders) >= house.most_orders:
             # Guards against a crowd of clients taking all memory; nothing has run, so a repeat is harmless.
             retry = timedelta(seconds=house.settings.max_retry_after)
@@ -137,7 +137,7 @@
         answer_by = self.now + max(time_left - house.guard_margin, time_left / 2)
         budget = max(time_left - house.answer_margin, time_left / 4)
         books.orders[event.order] = Order(
-            event.order, event.errand, kind.effect is i.Effect.SAFE, answer_by, event.client
+            event.order, event.errand, kind.effect is i.Effect.SAFE, answer_by, event.client, first
         )
         books.asking[event.client] = event.order
         # Guards against decisions that never come: the client gets its answer in any case.
@@ -215,7 +215,12 @@
         """The one final answer: an order that is answered is no longer held, so there is no second."""
         if order := self.books.orders.pop(number, None):
             self.books.open_ids.discard(order.errand.correlation)
-            self.out.append(fx.AnswerClient(number, status, last=self.books.draining, **more))
+            books = self.books
+            # Guards the clients' sockets against a crowd that asks once and stays: while it holds them,
+            # others cannot connect. Connections that are used again and again are left alone.
+            crowded = order.first and len(books.asking) + len(books.kept) > self.house.crowd
+            last = books.draining or crowded
+            self.out.append(fx.AnswerClient(number, status, last=last, **more))
             if self.books.asking.pop(order.client, None) is not None:
                 self._keep(order.client)
 
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -28,8 +28,9 @@
     most_lines: int  # connections to stock nodes at once
     most_orders: int
     most_clients: int  # connections from clients at once
+    crowd: int  # connections that have asked: over it, new ones end with their first answer
     silent_limit: timedelta = timedelta(milliseconds=2100)  # without a whole request since it was opened
-    kept_limit: timedelta = timedelta(seconds=5)  # without another since the last answer
+    kept_limit: timedelta = timedelta(milliseconds=2100)  # without another since the last answer
     kept_least: timedelta = timedelta(seconds=2)  # it is left alone so long where there is room for others
     silent_least: timedelta = timedelta(milliseconds=100)  # the time a request needs behind its connection
     client_round: timedelta = timedelta(milliseconds=250)  # between looks at them
@@ -103,6 +104,7 @@
     harmless: bool  # it may be repeated at any time
     answer_by: datetime
     client: int = 0
+    first: bool = False  # the first that came over its connection
     attempts: int = 0
     may_have_run: bool = False
     timed_out: bool = False
