Never close a client's connection that has brought a request, nor hold a loop's descriptor

At fault: Clients.dismiss closed a connection on the reducer's word, although a whole request could have been read in the turns of the loop before its order is reported; kept_limit of 2.1 s made that likelier. And wire/line.py kept a socket object under the loop's own descriptor number: where a dial was cancelled after it came up, connection_lost never came, the object was collected later and closed whatever connection had that number by then. The second follows from reading; it explains bytes that reach the wrong party.

dismiss now closes only what waits for a request, has brought none, is in the middle of a body or does not read its answer. The look at a kept connection uses a duplicate of the descriptor that is closed at once.

--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -130,6 +130,7 @@
         self.waiting: dict[int, asyncio.Future[AnswerClient]] = {}
         self.connections: dict[int, RequestHandler] = {}
         self.numbers: dict[RequestHandler, int] = {}
+        self.reading: dict[RequestHandler, StreamReader] = {}  # bodies whose last byte has not come
         self.busy: set[RequestHandler] = set()
         self.number = self.connection = 0
         self.last = False
@@ -184,8 +185,16 @@
             self.report(ClientLeft(number))
 
     def dismiss(self, client: int) -> None:
-        if connection := self.connections.get(client):
+        connection = self.connections.get(client)
+        if connection is None:
+            return
+        waiter, body = connection._waiter, self.reading.get(connection)
+        unread = connection._request_count == 0 and not connection._messages
+        if unread or (waiter is not None and not waiter.done()) or (body is not None and not body.is_eof()):
             connection.force_close()
+        elif connection.transport is not None and connection.transport.get_write_buffer_size():
+            connection.transport.abort()  # guards against a client that does not read its answer
+        # Otherwise a whole request has been read and its order is on its way: closing now would lose it.
 
     def answer(self, effect: AnswerClient) -> None:
         waiting = self.waiting.get(effect.order)
@@ -198,7 +207,7 @@
         try:
             if (request.content_length or 0) > MOST_BODY:
                 raise Malformed(413, "a body that is too long")
-            body = await request.read() if request.body_exists else b""
+            body = await self._read(request) if request.body_exists else b""
             self.number += 1
             client = self.numbers.get(request.protocol)
             if client is None:
@@ -226,6 +235,15 @@
             response.force_close()
         return response
 
+    async def _read(self, request: web.BaseRequest) -> bytes:
+        if request.content.is_eof():
+            return await request.read()
+        self.reading[request.protocol] = request.content
+        try:
+            return await request.read()
+        finally:
+            self.reading.pop(request.protocol, None)
+
     def _plain(self, status: int) -> web.Response:
         response = web.Response(status=status)
         if self.last:
--- a/opalgauge/wire/line.py
+++ b/opalgauge/wire/line.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -62,7 +63,6 @@
         self.owed = 0  # answers to what was sent
         self.begun: deque[Answer] = deque()  # answers whose last byte has not come
         self.heard = b""  # all bytes of these
-        self.held: socket.socket | None = None  # the loop's own socket, only looked at
 
     def _new_parser(self) -> HttpResponseParser:
         return HttpResponseParser(
@@ -74,9 +74,6 @@
         super().connection_made(transport)
         line = cast(asyncio.Transport, transport)
         line.set_write_buffer_limits(high=0)  # so that `pause_writing` tells of every byte not yet written
-        with contextlib.suppress(OSError, ValueError, AttributeError):
-            own = line.get_extra_info("socket")
-            self.held = socket.socket(own.family, own.type, own.proto, fileno=own.fileno())
         self.reached = Reached.WRITING
         if self.over:
             line.abort()
@@ -176,9 +173,6 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         super().connection_lost(exc)
-        if self.held is not None:
-            self.held.detach()
-            self.held = None
         self._fault()
 
     # --- our side ------------------------------------------------------------------------------------------
@@ -201,25 +195,31 @@
         and against taking what it sent unasked for the answer; the loop may yet have to tell of either.
         """
         try:
-            if self.held is not None:
-                self.held.recv(1, socket.MSG_PEEK)
+            with self._own_socket() as held:
+                held.recv(1, socket.MSG_PEEK)
             return True
         except BlockingIOError:
             return False
-        except OSError:
+        except (OSError, ValueError):
             return True
 
+    def _own_socket(self) -> socket.socket:
+        """The connection's socket under a descriptor of its own, for the moment.
+
+        Guards against closing the loop's descriptor: its number would soon be another connection's, and bytes
+        of one would go to the other. An object kept under the loop's number does that when it is collected.
+        """
+        assert self.transport is not None
+        return socket.socket(fileno=os.dup(self.transport.get_extra_info("socket").fileno()))
+
     def end(self) -> None:
         """Ends the connection before anything else is sent on another; nothing more is reported."""
         self.over = True
         if self.transport is not None:
             # Guards against the loop's habit of closing a socket a turn later, when a further attempt would
             # already be out.
-            if self.held is not None:
-                with contextlib.suppress(OSError):
-                    self.held.shutdown(socket.SHUT_RDWR)
-                self.held.detach()
-                self.held = None
+            with contextlib.suppress(OSError, ValueError), self._own_socket() as held:
+                held.shutdown(socket.SHUT_RDWR)
             self.transport.abort()
 
     def _fault(self) -> None:
--- a/tests/test_line.py
+++ b/tests/test_line.py
@@ -181,3 +181,16 @@
         ]  # fmt: skip
 
     with_line(scene)
+
+
+def test_a_line_that_is_collected_closes_no_descriptor_of_the_loops() -> None:
+    # Guards other connections: a descriptor closed behind the loop's back is soon another connection's.
+    async def scene(line: LineProtocol, theirs: socket.socket, events: list[ev.Event]) -> None:
+        line.send(b"GET / HTTP/1.1\r\n\r\n")
+        theirs.sendall(GOOD)
+        await until(events)
+        assert not line._stale()
+        kept = [v for v in vars(line).values() if isinstance(v, socket.socket)]
+        assert not kept, "nothing of the loop's is held between looks"
+
+    with_line(scene)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -13,6 +13,7 @@
 from opalgauge.memory import effects as fx
 from opalgauge.memory import events as ev
 from opalgauge.memory.reducer import Reducer
+from opalgauge.wire.clients import Clients, Trade
 from opalgauge.wire.exchange import Exchange
 from opalgauge.wire.node_list import NodeListReader
 from tests import town
@@ -161,6 +162,33 @@
 
 
 CHUNKS = "Transfer-Encoding: chunked\r\n"
+def test_a_request_that_has_been_read_is_not_lost_to_the_end_of_a_quiet_connection() -> None:
+    # Guards the turns of the loop between a request's last byte and its order: the reducer does not know yet.
+    async def scene() -> None:
+        seen: list[ev.Event] = []
+        clients = Clients(Trade([("stock-check", True)], ["negoce"], 3.0, 2), seen.append, lambda: True)
+        await clients.listen("127.0.0.1", 0)
+        assert clients.listener is not None
+        reader, writer = await asyncio.open_connection(*clients.listener.sockets[0].getsockname())
+        while not clients.connections:
+            await asyncio.sleep(0)
+        ((number, connection),) = clients.connections.items()
+        connection.data_received(town.request("GET", "/stock-check"))
+        clients.dismiss(number)
+        while not isinstance(seen[-1], ev.OrderTaken):
+            await asyncio.sleep(0)
+            clients.dismiss(number)
+        clients.answer(fx.AnswerClient(seen[-1].order, 200, b"done"))
+        assert (await town.read_request(reader)).endswith(b"done")
+        await asyncio.sleep(0.01)
+        clients.dismiss(number)
+        assert await reader.read() == b""
+        writer.close()
+        clients.stop_listening()
+
+    asyncio.run(scene())
+
+
 BAD = {
     "an unknown kind": (town.request("GET", "/nothing"), 404),
     "another method": (town.request("GET", "/place-order"), 400),
