Add a settings file of our own, the command opalgauge and structured logging

Need: outside the platform an ingress had no settings but the platform's JSON and no command line; several cores and all that follows need both.

Change: lifecycle/settings reads a line-based file, checks it as a whole and words it as the platform would, so that one set of checks holds for both; sources re-reads either on SIGHUP. click and structlog are extras that serving for the platform never loads (a test looks). Without a node list agent the stock-node lines are the list, and change on SIGHUP.

--- /dev/null
+++ b/opalgauge/cli/serve.py
@@ -0,0 +1,17 @@
+"""`opalgauge serve`: runs one ingress in the foreground."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+
+
+@click.command("serve")
+@click.option("--settings", type=click.Path(dir_okay=False), help="Our file; without it, BALANCER_CONFIG.")
+def command(settings: str | None) -> None:
+    """Serve until SIGTERM; SIGHUP reads the settings again. Exit status 2: the start cannot work."""
+    from opalgauge.lifecycle.service import main
+    from opalgauge.lifecycle.sources import FileSource
+
+    sys.exit(main(FileSource(settings) if settings else None))
--- a/opalgauge/lifecycle/config.py
+++ b/opalgauge/lifecycle/config.py
@@ -80,7 +80,9 @@
             seed=int(str(told.get("seed", "0")), 16),
             counter_address=str(told.get("counter", "")),
             # The file before the environment: it may have been replaced since this was set.
-            node_list_address=str(told.get("discovery") or environ["BALANCER_DISCOVERY"]),
+            node_list_address=str(
+                told["discovery"] if told.get("discovery") is not None else environ["BALANCER_DISCOVERY"]
+            ),
             known_version=int(known.get("seq", 0)),
             known=read_nodes(known.get("hosts", ()), zones),
             dial_timeout=timedelta(seconds=DIAL_SHARE * float(ceilings.get("dial_timeout", 0.25))),
@@ -103,7 +105,8 @@
         raise ConfigError(f"configuration cannot be used: {type(bad).__name__}: {bad}") from None
 
 
-def read_config(environ: Mapping[str, str] = os.environ) -> Config:
+def read_told(environ: Mapping[str, str] = os.environ) -> dict[str, Any]:
+    """The platform's JSON file as it stands."""
     path = environ.get("BALANCER_CONFIG")
     if not path:
         raise ConfigError("BALANCER_CONFIG is not set")
@@ -111,4 +114,10 @@
         told = json.loads(Path(path).read_text())
     except (OSError, ValueError) as bad:
         raise ConfigError(f"configuration cannot be read: {bad}") from None
-    return make_config(told, environ)
+    if not isinstance(told, dict):
+        raise ConfigError("configuration cannot be read: it is no object")
+    return told
+
+
+def read_config(environ: Mapping[str, str] = os.environ) -> Config:
+    return make_config(read_told(environ), environ)
--- a/opalgauge/lifecycle/service.py
+++ b/opalgauge/lifecycle/service.py
@@ -4,14 +4,16 @@
 
 import asyncio
 import signal
-import sys
 import time
+from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
 
 import uvloop
 
-from opalgauge.lifecycle.config import Config, ConfigError, read_config
-from opalgauge.memory.events import DrainAsked, GraceOver, Readdressed
+from opalgauge.lifecycle.config import Config, ConfigError, make_config
+from opalgauge.lifecycle.logs import Log, make_log, plain
+from opalgauge.lifecycle.sources import PlatformSource, Reading, Source
+from opalgauge.memory.events import DrainAsked, Event, GraceOver, NodesNamed, Readdressed
 from opalgauge.memory.reducer import Reducer
 from opalgauge.wire.clients import Clients
 from opalgauge.wire.exchange import Exchange
@@ -22,10 +24,6 @@
 LINGER = timedelta(milliseconds=50)  # for the last answers to leave
 
 
-def log(text: str) -> None:
-    print(f"opalgauge: {text}", file=sys.stderr, flush=True)
-
-
 class Clock:
     """Unix time, read once and then advanced by the monotonic clock: it never jumps."""
 
@@ -36,7 +34,30 @@
         return self.anchor + timedelta(microseconds=(time.monotonic_ns() - self.started) // 1000)
 
 
-async def serve(config: Config) -> None:
+def reread(source: Source, take: Callable[[Reading], None], log: Log, tries: int = RELOAD_TRIES) -> None:
+    """Reads the settings again and hands them on where they hold as a whole; else all goes on as before."""
+    try:
+        reading = source.read()
+    except ConfigError as bad:
+        # Guards against a file that is just being replaced, and against one that is no good at all.
+        if tries > 1:
+            wait = RELOAD_PAUSE.total_seconds()
+            asyncio.get_running_loop().call_later(wait, reread, source, take, log, tries - 1)
+        else:
+            log(f"reload: {bad}; going on as before")
+        return
+    take(reading)
+
+
+def readdress(report: Callable[[Event], None], config: Config) -> None:
+    """What a new configuration changes in service: the other parties' addresses."""
+    house = config.house
+    report(Readdressed(house.counter_address, house.node_list_address))
+    if not house.node_list_address:
+        report(NodesNamed(house.known))
+
+
+async def serve(config: Config, source: Source, log: Log = plain) -> None:
     loop = asyncio.get_running_loop()
     over = asyncio.Event()
     clock = Clock()
@@ -51,18 +72,15 @@
             exchange.report(DrainAsked())
             loop.call_later(GRACE.total_seconds(), exchange.report, GraceOver())
 
-    def reload(tries: int = RELOAD_TRIES) -> None:
-        """The addresses of the quota counter and the node list may change in service, nothing else does."""
-        try:
-            house = read_config().house
-        except ConfigError as bad:
-            # Guards against a file that is just being replaced, and against one that is no good at all.
-            if tries > 1:
-                loop.call_later(RELOAD_PAUSE.total_seconds(), reload, tries - 1)
-            else:
-                log(f"reload: {bad}; going on as before")
-            return
-        exchange.report(Readdressed(house.counter_address, house.node_list_address))
+    def reload() -> None:
+        """The addresses of the other parties may change in service, nothing else does."""
+
+        def take(reading: Reading) -> None:
+            readdress(exchange.report, make_config(reading.told, reading.environ))
+            if reading.changed:
+                log(f"reload: {reading.changed}")
+
+        reread(source, take, log)
 
     # Whatever escapes on a connection ends there, and is told in one line.
     loop.set_exception_handler(
@@ -81,10 +99,15 @@
     log("drain: nothing owed any more; leaving")
 
 
-def main() -> int:
+def main(source: Source | None = None) -> int:
+    """Serves until asked to stop; 0 after a drain, 2 where a start cannot work."""
+    log: Log = plain
     try:
-        config = read_config()
-        uvloop.run(serve(config))
+        source = source or PlatformSource()
+        reading = source.read()
+        config = make_config(reading.told, reading.environ)
+        log = make_log(reading.log_form, ingress=config.name)
+        uvloop.run(serve(config, source, log))
     except (ConfigError, OSError) as bad:
         log(f"cannot start: {bad}")
         return 2
--- /dev/null
+++ b/opalgauge/lifecycle/words.py
@@ -0,0 +1,142 @@
+"""How single words of a settings file are read: durations, sizes, rates, addresses.
+
+Each reader takes the word and gives the value, or raises ValueError with what would be right.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import math
+import re
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?")
+SPANS = {"us": 1e-6, "ms": 1e-3, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}
+SIZES = {"": 1, "k": 1024, "M": 1024**2, "G": 1024**3}
+PER = {"s": 1.0, "m": 60.0, "h": 3600.0}
+NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+MOST_COUNT = 2**31 - 1
+
+
+def number(word: str) -> float:
+    """A plain decimal, 0 or more."""
+    if not NUMBER.fullmatch(word):
+        raise ValueError("a plain number, such as 2 or 0.55")
+    return float(word)
+
+
+def share(word: str) -> float:
+    """A part of 1, above 0."""
+    value = number(word)
+    if not 0 < value <= 1:
+        raise ValueError("a share above 0 and up to 1, such as 0.15")
+    return value
+
+
+def count(word: str) -> int:
+    if not word.isascii() or not word.isdigit() or int(word) > MOST_COUNT:
+        raise ValueError("a whole number, such as 4")
+    return int(word)
+
+
+def positive(word: str) -> int:
+    value = count(word)
+    if value < 1:
+        raise ValueError("a whole number of 1 or more")
+    return value
+
+
+def span(word: str) -> timedelta:
+    """A duration with its unit."""
+    found = re.fullmatch(rf"({NUMBER.pattern})(us|ms|s|m|h|d)", word)
+    if not found:
+        raise ValueError("a duration with its unit (us, ms, s, m, h, d), such as 250ms")
+    return timedelta(seconds=float(found[1]) * SPANS[found[3]])
+
+
+def some_span(word: str) -> timedelta:
+    value = span(word)
+    if not value:
+        raise ValueError("a duration above 0, such as 250ms")
+    return value
+
+
+def size(word: str) -> int:
+    """Bytes, with k, M or G for powers of 1024."""
+    found = re.fullmatch(r"([0-9]{1,9})([kMG]?)", word)
+    if not found:
+        raise ValueError("a size in bytes, or with k, M or G, such as 64k")
+    return int(found[1]) * SIZES[found[2]]
+
+
+class Rate(float):
+    """Units a second."""
+
+
+def rate(word: str) -> Rate:
+    """Units a second, written with the time they are for."""
+    found = re.fullmatch(rf"({NUMBER.pattern})/([smh])", word)
+    if not found:
+        raise ValueError("units for a time (s, m, h), such as 2.5/s or 90/m")
+    return Rate(float(found[1]) / PER[found[3]])
+
+
+def switch(word: str) -> bool:
+    if word not in ("on", "off"):
+        raise ValueError("on or off")
+    return word == "on"
+
+
+def address(word: str) -> str:
+    """`HOST:PORT` with an IP address, kept as it was written: names are not looked up."""
+    host, _, port = word.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise ValueError("an IP address and a port, such as 127.0.0.1:5000") from None
+    if not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError("a port from 1 to 65535 behind the address, such as 127.0.0.1:5000")
+    return word
+
+
+def name(word: str) -> str:
+    if not NAME.fullmatch(word):
+        raise ValueError("a name of letters, digits, dots, lines and dashes, 63 at most")
+    return word
+
+
+def seed(word: str) -> str:
+    if not re.fullmatch(r"[0-9a-fA-F]{1,16}", word):
+        raise ValueError("1 to 16 hexadecimal digits")
+    return word
+
+
+def path(word: str) -> str:
+    if not word or "\0" in word:
+        raise ValueError("a file's path")
+    return word
+
+
+def one_of(*choices: str) -> Callable[[str], str]:
+    def read(word: str) -> str:
+        if word not in choices:
+            raise ValueError("one of " + ", ".join(choices))
+        return word
+
+    return read
+
+
+def said(value: Any) -> str:
+    """A value as a settings file words it."""
+    if isinstance(value, bool):
+        return "on" if value else "off"
+    if isinstance(value, timedelta):
+        seconds = value.total_seconds()
+        return f"{seconds * 1000:g}ms" if seconds < 1 else f"{seconds:g}s"
+    if isinstance(value, Rate):
+        return f"{float(value):.9g}/s"
+    if isinstance(value, float) and math.isfinite(value):
+        return f"{value:g}"
+    return str(value)
--- a/opalgauge/memory/events.py
+++ b/opalgauge/memory/events.py
@@ -151,6 +151,13 @@
     node_list_address: str
 
 
+@dataclass(slots=True)
+class NodesNamed:
+    """The settings name the stock nodes themselves, and no node list agent: the whole list, as read now."""
+
+    nodes: tuple[StockNode, ...]
+
+
 @dataclass(slots=True)
 class DrainAsked:
     """The ingress is to stop: its answers close their connections."""
@@ -174,6 +181,7 @@
     | NodeListAnswered
     | Woken
     | Readdressed
+    | NodesNamed
     | DrainAsked
     | GraceOver
 )
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -51,6 +51,7 @@
             ev.NodeListAnswered: self._node_list_answered,
             ev.Woken: self._woken,
             ev.Readdressed: self._readdressed,
+            ev.NodesNamed: lambda e: self._take_list(i.ListKind.WHOLE, e.nodes),
             ev.DrainAsked: self._drain_asked,
             ev.GraceOver: self._grace_over,
         }
@@ -536,7 +537,7 @@
 
     # --- node list -----------------------------------------------------------------------------------------
     def _ask_list(self) -> None:
-        if self.books.list_line in self.books.lines:
+        if not self.books.node_list_address or self.books.list_line in self.books.lines:
             return
         line = self._open(fx.Party.NODE_LIST, self.books.node_list_address)
         self.books.list_line = line.number
--- a/tests/town.py
+++ b/tests/town.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import tempfile
 from collections.abc import AsyncIterator, Callable
@@ -149,14 +150,17 @@
     return (head + (f"Content-Length: {len(body)}\r\n" if body else "") + "\r\n").encode() + body
 
 
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
 @contextlib.asynccontextmanager
 async def ingress(node: str, quota: str, nodes: str) -> AsyncIterator[Ingress]:
     """The program itself, as `run` starts it, between the given parties."""
-    import socket
-
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = probe.getsockname()[1]
+    port = free_port()
     host = {"host": "s-1", "dial": node, "site": "bat-a", "class": "std-2c", "block": 0,
             "health": "in_service", "share": 1.0, "born_ms": 0}  # fmt: skip
     config = {
