Let one ingress use several cores, with workers that may stall or die

Need: one process uses one core, and two under one name would each spend the ingress's whole part of a ceiling.

Change: a guardian accepts and deals connections by descriptor and keeps a descriptor of each; every worker reads requests and hands them to the worker that owns the trade account (rendezvous hashing; busy accounts are split into parts). A worker that stalls is killed before anything it held is settled; marks on a shared board and the kernel's own byte counts say how far each request came. The module learns how many parts a customer has here and since when; the platform's wire never says either.

--- /dev/null
+++ b/opalgauge/cli/bench.py
@@ -0,0 +1,40 @@
+"""`opalgauge bench …`: measurements against stand-ins on loopback."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import click
+
+
+@click.group("bench")
+def command() -> None:
+    """Measure the ingress against stand-ins on this machine's loopback."""
+
+
+def _numbers(_: click.Context, __: click.Parameter, text: str) -> list[int]:
+    try:
+        found = [int(word) for word in text.split(",")]
+    except ValueError:
+        raise click.BadParameter("whole numbers with commas between them, such as 1,2,4") from None
+    if not found or any(n < 1 or n > 64 for n in found):
+        raise click.BadParameter("core counts go from 1 to 64")
+    return found
+
+
+def _write(path: Path | None, told: dict[str, Any]) -> None:
+    if path is not None:
+        path.write_text(json.dumps(told, indent=1) + "\n")
+
+
+@command.command("cores")
+@click.option("--cores", default="1,2,4,8", callback=_numbers, help="Core counts.", show_default=True)
+@click.option("--seconds", default=8.0, type=click.FloatRange(1, 600), help="Each load.", show_default=True)
+@click.option("--json", "path", type=click.Path(path_type=Path, dir_okay=False), help="All figures.")
+def cores(cores: list[int], seconds: float, path: Path | None) -> None:
+    """Throughput, answer times, cost and drift by core count; then a worker stalls, and one dies."""
+    from opalgauge.lab.cores import bench
+
+    _write(path, bench(cores, seconds, click.echo))
--- a/opalgauge/cli/main.py
+++ b/opalgauge/cli/main.py
@@ -10,6 +10,7 @@
 COMMANDS = {
     "serve": "opalgauge.cli.serve",
     "check": "opalgauge.cli.check",
+    "bench": "opalgauge.cli.bench",
 }
 
 
@@ -30,7 +31,7 @@
 @click.command(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(package_name="opalgauge")
 def cli() -> None:
-    """The shared-quota ingress: serve it, check its settings."""
+    """The shared-quota ingress: serve it, check its settings, measure it."""
 
 
 def main() -> None:
--- a/opalgauge/cores/shares.py
+++ b/opalgauge/cores/shares.py
@@ -129,8 +129,8 @@
 
 
 class Balance:
-    """Decides which accounts are split. An account is worth `1 / workers` of all traffic at most at one worker;
-    above half of that it is split so far that each part is about half of it again."""
+    """Decides which accounts are split. One worker can bear `1 / workers` of all traffic; an
+    account above half of that is split so far that each part is about half of it again."""
 
     def __init__(self, workers: int, calm: timedelta = timedelta(seconds=10)) -> None:
         self.workers, self.calm = workers, calm
--- a/opalgauge/cores/takeover.py
+++ b/opalgauge/cores/takeover.py
@@ -1,8 +1,8 @@
 """What becomes of a client's connection whose worker is no more.
 
-Pure: no I/O, no clock. A worker that stalls is killed before anything else is done, so that what it did is all
-that it will ever have done; the kernel and the board then say how far that was. A connection's `Mark` is what
-the worker wrote down about it, always before it did the thing; `Kernel` is what the socket itself has counted.
+Pure: no I/O, no clock. A worker that stalls is killed before anything else is done, so that what it did is
+all that it will ever have done; the kernel and the board then say how far that was. A connection's `Mark` is
+what the worker wrote down about it, always before it did the thing; `Kernel` is what its socket has counted.
 """
 
 from __future__ import annotations
@@ -28,11 +28,12 @@
     ran: int = 0
     consumed: int = 0  # up to the end of the last request
     written: int = 0  # before its answer
+    until: int = 0  # ns of the monotonic clock: its client waits no longer
 
 
 @dataclass(frozen=True, slots=True)
 class Kernel:
-    """What the socket counted: bytes that were read from it and written to it, and whether it still stands."""
+    """What the socket counted: bytes read from it and written to it, and whether it still stands."""
 
     consumed: int
     written: int
--- a/opalgauge/cores/watch.py
+++ b/opalgauge/cores/watch.py
@@ -1,7 +1,7 @@
-"""The guardian's decisions: which worker lives, which has stalled, who decides for the accounts, when to stop.
+"""The guardian's decisions: which worker lives, which has stalled, who decides for what, when to stop.
 
 Pure: `Watch.step(event, now) -> effects`, no I/O and no clock. A worker is a seat that one life after another
-takes. A seat's next life begins only after the last one is known to have ended, so at no time two of them act.
+takes. A seat's next life begins only after the last is known to have ended: at no time two of them act.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/opalgauge/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The laboratory: stand-ins, load and measurements. Serving imports nothing of it."""
--- a/opalgauge/memory/effects.py
+++ b/opalgauge/memory/effects.py
@@ -6,7 +6,7 @@
 from datetime import datetime, timedelta
 from enum import Enum
 
-from opalgauge.memory.events import Errand
+from opalgauge.memory.events import Errand, OrderTaken
 
 
 class Party(Enum):
@@ -36,6 +36,7 @@
     line: int
     errand: Errand
     time_left: timedelta
+    order: int = 0
 
 
 @dataclass(slots=True)
@@ -74,6 +75,22 @@
     last: bool = False
 
 
+@dataclass(slots=True)
+class PassOrder:
+    """Hands an order to the core that decides about it."""
+
+    core: int
+    taken: OrderTaken
+
+
+@dataclass(slots=True)
+class RecallOrder:
+    """Tells that core that nobody waits for the order any more."""
+
+    core: int
+    order: int
+
+
 @dataclass(slots=True)
 class CloseClient:
     """Ends a client's connection, over which nothing is owed."""
@@ -111,6 +128,8 @@
     | CallCounter
     | AskNodeList
     | AnswerClient
+    | PassOrder
+    | RecallOrder
     | CloseClient
     | WakeAt
     | CloseFront
--- a/opalgauge/memory/events.py
+++ b/opalgauge/memory/events.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
@@ -52,6 +53,43 @@
     first: int
     repeat: bool
     client: int  # the connection that it came over
+    parts: int = 1  # see `starlinggap.interface.Request`
+    held: float = math.inf
+
+
+@dataclass(slots=True)
+class OrderPassed:
+    """A client's whole request has been read, and another core of this ingress decides about it."""
+
+    taken: OrderTaken
+    core: int
+
+
+@dataclass(slots=True)
+class OrderClashes:
+    """A client's request has been read under an id that is open at another core."""
+
+    order: int
+    client: int
+
+
+@dataclass(slots=True)
+class OrderReturned:
+    """The other core's final answer to an order that was passed to it."""
+
+    order: int
+    status: int
+    body: bytes
+    content_type: str
+    retry_after: timedelta | None
+
+
+@dataclass(slots=True)
+class CoreLost:
+    """Another core is no more. `ran`: the orders passed to it that may have run."""
+
+    core: int
+    ran: frozenset[int]
 
 
 @dataclass(slots=True)
@@ -170,6 +208,10 @@
 
 Event = (
     OrderTaken
+    | OrderPassed
+    | OrderClashes
+    | OrderReturned
+    | CoreLost
     | ClientCame
     | ClientLeft
     | LineUp
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -40,6 +40,10 @@
         self.wake: datetime | None = None
         self.on: dict[type, Callable[[Any], None]] = {
             ev.OrderTaken: self._order_taken,
+            ev.OrderPassed: self._order_passed,
+            ev.OrderClashes: lambda e: self._turn_away(e.order, e.client, 400),
+            ev.OrderReturned: self._order_returned,
+            ev.CoreLost: self._core_lost,
             ev.ClientCame: self._client_came,
             ev.ClientLeft: self._client_left,
             ev.LineUp: self._line_up,
@@ -116,21 +120,58 @@
 
     # --- clients -------------------------------------------------------------------------------------------
     def _order_taken(self, event: ev.OrderTaken) -> None:
+        budget = self._open_order(event, None)
+        if budget is not None:
+            self.news.append(
+                i.Request(
+                    event.order, event.kind, event.tariff, event.account, budget.total_seconds(),
+                    event.units, event.spread, event.first, event.repeat, event.parts, event.held,
+                )
+            )  # fmt: skip
+
+    def _order_passed(self, event: ev.OrderPassed) -> None:
+        """The answer is owed here, with all its guards; the decisions are another core's."""
+        if self._open_order(event.taken, event.core) is not None:
+            self.out.append(fx.PassOrder(event.core, event.taken))
+
+    def _order_returned(self, event: ev.OrderReturned) -> None:
+        order = self.books.orders.get(event.order)
+        if order is not None and order.core is not None:
+            self._answer(
+                event.order, event.status, body=event.body, content_type=event.content_type,
+                retry_after=event.retry_after,
+            )  # fmt: skip
+
+    def _core_lost(self, event: ev.CoreLost) -> None:
+        # Guards what may have run at a core that is no more: it is never sent again, nor said to be refused.
+        soon = timedelta(seconds=self.house.settings.max_retry_after) / 4
+        for order in [o for o in self.books.orders.values() if o.core == event.core]:
+            if order.number in event.ran and not order.harmless:
+                self._answer(order.number, 502)
+            else:
+                self._answer(order.number, 429, retry_after=soon)
+
+    def _turn_away(self, order: int, client: int, status: int, retry: timedelta | None = None) -> None:
+        """A final answer to a request that does not become an order."""
+        self.books.silent.pop(client, None)
+        self.out.append(fx.AnswerClient(order, status, retry_after=retry, last=self.books.draining))
+        self._keep(client)
+
+    def _open_order(self, event: ev.OrderTaken, core: int | None) -> timedelta | None:
+        """Enters an order and its guard; gives the time that the decisions have, or None: turned away."""
         house, books = self.house, self.books
         books.silent.pop(event.client, None)
         first = books.kept.pop(event.client, None) is None
         if len(books.orders) >= house.most_orders:
             # Guards against a crowd of clients taking all memory; nothing has run, so a repeat is harmless.
             retry = timedelta(seconds=house.settings.max_retry_after)
-            self.out.append(fx.AnswerClient(event.order, 429, retry_after=retry, last=books.draining))
-            self._keep(event.client)
-            return
+            self._turn_away(event.order, event.client, 429, retry)
+            return None
         if event.errand.correlation in books.open_ids:
             # Guards an open order against another client's request under its id: what comes back for one
             # could not be told from what comes back for the other.
-            self.out.append(fx.AnswerClient(event.order, 400, last=books.draining))
-            self._keep(event.client)
-            return
+            self._turn_away(event.order, event.client, 400)
+            return None
         books.open_ids.add(event.errand.correlation)
         kind = house.settings.classes[event.kind]
         # Guards against clients that claim to wait for an hour: nobody waits longer than a kind's deadline.
@@ -138,17 +179,12 @@
         answer_by = self.now + max(time_left - house.guard_margin, time_left / 2)
         budget = max(time_left - house.answer_margin, time_left / 4)
         books.orders[event.order] = Order(
-            event.order, event.errand, kind.effect is i.Effect.SAFE, answer_by, event.client, first
+            event.order, event.errand, kind.effect is i.Effect.SAFE, answer_by, event.client, first, core
         )
         books.asking[event.client] = event.order
         # Guards against decisions that never come: the client gets its answer in any case.
         self._at(answer_by, self._overdue, event.order)
-        self.news.append(
-            i.Request(
-                event.order, event.kind, event.tariff, event.account, budget.total_seconds(),
-                event.units, event.spread, event.first, event.repeat,
-            )
-        )  # fmt: skip
+        return budget
 
     def _client_came(self, event: ev.ClientCame) -> None:
         books, house = self.books, self.house
@@ -177,7 +213,7 @@
         number = books.asking.pop(event.client, None)
         if number is not None and (order := books.orders.pop(number, None)):
             books.open_ids.discard(order.errand.correlation)
-            self.news.append(i.ClientGone(number))
+            self._unwanted(order)
 
     def _keep(self, client: int) -> None:
         """A client has its answer: its connection waits for the next request."""
@@ -208,9 +244,16 @@
         self.out.append(fx.CloseClient(client))
 
     def _overdue(self, number: int) -> None:
-        if number in self.books.orders:
+        if order := self.books.orders.get(number):
             self._answer(number, 504)
-            self.news.append(i.ClientGone(number))
+            self._unwanted(order)
+
+    def _unwanted(self, order: Order) -> None:
+        """Nobody waits for it any more: whoever decides about it hears so."""
+        if order.core is None:
+            self.news.append(i.ClientGone(order.number))
+        else:
+            self.out.append(fx.RecallOrder(order.core, order.number))
 
     def _answer(self, number: int, status: int, **more: Any) -> None:
         """The one final answer: an order that is answered is no longer held, so there is no second."""
@@ -287,7 +330,7 @@
             self.out.append(fx.SendProbe(line.number))
         elif order := self.books.orders.get(attempt.order):
             left = max(NOTHING, attempt.stop_at - self.now)
-            self.out.append(fx.SendAttempt(line.number, order.errand, left))
+            self.out.append(fx.SendAttempt(line.number, order.errand, left, order.number))
 
     def _ended(self, attempt: Attempt, end: i.End, load: dict[str, float] | None = None) -> None:
         """The decisions hear how an attempt or a probe ended, once."""
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -105,6 +105,7 @@
     answer_by: datetime
     client: int = 0
     first: bool = False  # the first that came over its connection
+    core: int | None = None  # that decides about it, where it is not this one
     attempts: int = 0
     may_have_run: bool = False
     timed_out: bool = False
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -125,8 +125,15 @@
 class Clients:
     """The sockets that clients reach, on aiohttp's low-level server."""
 
-    def __init__(self, trade: Trade, report: Callable[[Event], None], ready: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        trade: Trade,
+        report: Callable[[Event], None],
+        ready: Callable[[], bool],
+        front: type[Front] = Front,
+    ) -> None:
         self.trade, self.report, self.ready = trade, report, ready
+        self.over: Callable[[int], None] | None = None  # told of each order that waits no more
         self.waiting: dict[int, asyncio.Future[AnswerClient]] = {}
         self.connections: dict[int, RequestHandler] = {}
         self.numbers: dict[RequestHandler, int] = {}
@@ -145,7 +152,7 @@
                 message, payload, protocol, writer, task, loop, client_max_size=MOST_BODY
             )
 
-        self.server = Front(
+        self.server = front(
             came=self._came,
             went=self._went,
             handler=self._serve,
@@ -225,6 +232,8 @@
             effect: AnswerClient = await waiting
         finally:
             del self.waiting[order.order]
+            if self.over is not None:
+                self.over(order.order)
             self.busy.discard(request.protocol)
         response = web.Response(status=effect.status, body=effect.body)
         if effect.content_type:
--- a/opalgauge/wire/exchange.py
+++ b/opalgauge/wire/exchange.py
@@ -44,7 +44,7 @@
         self.do: dict[type, Callable[[Any], None]] = {
             fx.OpenLine: self._open,
             fx.CloseLine: self._close,
-            fx.SendAttempt: lambda e: self._write(e.line, stock_nodes.attempt_bytes(e.errand, e.time_left)),
+            fx.SendAttempt: self.send,
             fx.SendProbe: self._probe,
             fx.CallCounter: lambda e: self._write(
                 e.line, quota_counter.call_bytes(e.name, e.amount, e.life)
@@ -52,6 +52,9 @@
             fx.AskNodeList: lambda e: self._write(e.line, question_bytes(e.since, e.wait)),
             fx.AnswerClient: self._answer,
             fx.CloseClient: self._close_client,
+            # An ingress of one core passes nothing on; `opalgauge.cores` puts its own in their place.
+            fx.PassOrder: lambda _: None,
+            fx.RecallOrder: lambda _: None,
             fx.WakeAt: self._wake_at,
             fx.CloseFront: lambda _: self.clients.stop_listening() if self.clients else None,
             fx.Leave: lambda _: self.leave(),
@@ -125,6 +128,9 @@
         if line := self.lines.pop(effect.line, None):
             line.end()
 
+    def send(self, effect: fx.SendAttempt) -> None:
+        self._write(effect.line, stock_nodes.attempt_bytes(effect.errand, effect.time_left))
+
     def _write(self, number: int, data: bytes) -> None:
         if line := self.lines.get(number):
             line.send(data)
--- a/starlinggap/brain.py
+++ b/starlinggap/brain.py
@@ -75,10 +75,12 @@
 
     __slots__ = ("id", "plan", "spread", "length", "limit", "window", "total", "own", "lost", "prev",
                  "prev_known", "reading", "waiting", "deficit", "stale", "others", "withheld", "at", "told",
-                 "debt", "debt_at", "open", "room", "seen", "asked", "let_in", "heard", "denied")  # fmt: skip
+                 "debt", "debt_at", "open", "room", "seen", "asked", "let_in", "heard", "denied",
+                 "parts")  # fmt: skip
 
     def __init__(self, request: i.Request, plan: i.Plan, now: float, alive: float) -> None:
-        self.id, self.plan, self.spread = request.customer, plan, max(1, request.spread)
+        self.id, self.plan, self.parts = request.customer, plan, request.parts
+        self.spread = max(1, request.spread) * request.parts
         # A window lasts as long as the burst takes to fill, or as long as two names can be kept.
         self.length = min(plan.burst / plan.rate, LONGEST_NAME / TTL_WINDOWS) if plan.rate > 0 else 0.0
         self.limit = min(plan.burst, plan.rate * self.length)
@@ -274,6 +276,11 @@
         self.customers.move_to_end(request.customer)
         c.turn(self.now)
         c.seen = self.now
+        if request.parts != c.parts:  # its part here is split anew: what was one core's is several', or back
+            c.room *= min(1.0, c.parts / request.parts)
+            c.spread, c.parts = c.spread // c.parts * request.parts, request.parts
+        if request.held < math.inf:  # guards its ceiling against what another core has spent, not known here
+            c.room = min(c.room, plan.ceiling_rate / c.spread * request.held)
         work = self.work[request.request] = Work(request, cls, c, self.now)
         self.ranks.append(self.density(work))
         self.retries = min(RETRY_DEPTH, self.retries + RETRY_SHARE)
--- a/starlinggap/interface.py
+++ b/starlinggap/interface.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -152,6 +153,10 @@
     spread: int = 1
     first: int = 0
     is_retry: bool = False
+    # Where an ingress has several cores: how many decide for the customer side by side, and for how long (s)
+    # nobody but these can have spent its part of a ceiling.
+    parts: int = 1
+    held: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
