Measure cores and the cost of a request, and look at kept connections cheaply

Need: several cores and the cost of one request were to be shown in figures that anyone can take again; a send looked through every attempt that was out, and each look at a kept connection cost six system calls.

Change: opalgauge bench cores (throughput, answer times, drift from the counter, a stall, a kill, one account that is half of the traffic) and bench request (by part), each against stand-ins in processes of their own. An order knows how many of its attempts are out; a kept connection is looked at on the loop's own descriptor.

--- a/opalgauge/cli/bench.py
+++ b/opalgauge/cli/bench.py
@@ -33,8 +33,22 @@
 @click.option("--cores", default="1,2,4,8", callback=_numbers, help="Core counts.", show_default=True)
 @click.option("--seconds", default=8.0, type=click.FloatRange(1, 600), help="Each load.", show_default=True)
 @click.option("--json", "path", type=click.Path(path_type=Path, dir_okay=False), help="All figures.")
-def cores(cores: list[int], seconds: float, path: Path | None) -> None:
+@click.option(
+    "--rounds", default=1, type=click.IntRange(1, 50), help="The median is told.", show_default=True
+)
+def cores(cores: list[int], seconds: float, path: Path | None, rounds: int) -> None:
     """Throughput, answer times, cost and drift by core count; then a worker stalls, and one dies."""
     from opalgauge.lab.cores import bench
 
-    _write(path, bench(cores, seconds, click.echo))
+    _write(path, bench(cores, seconds, rounds, click.echo))
+
+
+@command.command("request")
+@click.option("--rounds", default=3, type=click.IntRange(1, 50), show_default=True)
+@click.option("--seconds", default=3.0, type=click.FloatRange(1, 600), help="Each load.", show_default=True)
+@click.option("--json", "path", type=click.Path(path_type=Path, dir_okay=False), help="All figures.")
+def request(rounds: int, seconds: float, path: Path | None) -> None:
+    """What one request costs on one core, by part and as a whole."""
+    from opalgauge.lab.request import bench
+
+    _write(path, bench(rounds, seconds, click.echo))
--- a/opalgauge/cores/board.py
+++ b/opalgauge/cores/board.py
@@ -48,6 +48,7 @@
             os.ftruncate(fd, size)
         self.fd = fd
         self.memory = mmap.mmap(fd, size)
+        self.fences = memoryview(self.memory)[: seats * HEADER].cast("I")
 
     # --- beats and fences ----------------------------------------------------------------------------------
     def beat(self, seat: int) -> None:
@@ -61,8 +62,7 @@
         U32.pack_into(self.memory, seat * HEADER + 8, life)
 
     def fenced(self, seat: int, life: int) -> bool:
-        fenced: int = U32.unpack_from(self.memory, seat * HEADER + 8)[0]
-        return fenced >= life
+        return self.fences[seat * HEADER // 4 + 2] >= life
 
     def clear(self, seat: int) -> None:
         """Forgets the open ids of a life that has ended."""
--- a/opalgauge/cores/shares.py
+++ b/opalgauge/cores/shares.py
@@ -18,9 +18,10 @@
 import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
-from datetime import datetime, timedelta
+from datetime import UTC, datetime, timedelta
 
 MOST_KEPT = 65536  # accounts whose owners are remembered
+NEVER = datetime.max.replace(tzinfo=UTC)
 REMEMBERED = timedelta(seconds=120)  # by then every ceiling's part has filled, and no roster before counts
 
 
@@ -58,6 +59,8 @@
         self.me, self.settle = me, settle
         self.past: list[tuple[Roster, datetime]] = []  # each and when it was heard; the newest last
         self.cache: dict[int, tuple[int, ...]] = {}
+        self.since: dict[int, datetime | None] = {}  # by account: owned here since; None: always
+        self.split_lately = False
         self.turn = 0
 
     def take(self, roster: Roster, now: datetime) -> bool:
@@ -68,6 +71,8 @@
         while len(self.past) > 2 and now - self.past[1][1] > REMEMBERED:
             del self.past[0]
         self.cache.clear()
+        self.since.clear()
+        self.split_lately = any(known.split for known, _ in self.past)
         return True
 
     @property
@@ -93,6 +98,8 @@
     def parts(self, account: int, now: datetime) -> int:
         """Into how many parts the account is split, as far as anybody may still believe it."""
         most = 1
+        if not self.split_lately:
+            return most
         until = now
         for roster, heard in reversed(self.past):
             if until + self.settle < now:
@@ -106,17 +113,26 @@
 
         None: always, in this life of the ingress. Never below 0.
         """
-        since: datetime | None = None
+        if account in self.since:
+            since = self.since[account]
+        else:
+            if len(self.since) >= MOST_KEPT:
+                self.since.clear()
+            since = self.since[account] = self._owned_since(account)
+        if since is None or now - since > REMEMBERED + self.settle:
+            return None
+        return max(timedelta(0), now - since - self.settle)
+
+    def _owned_since(self, account: int) -> datetime | None:
+        """When it came to be decided for here, as far as is remembered; None: from the first roster on."""
+        since = NEVER
         for roster, heard in reversed(self.past):
             if self.me not in owners(account, roster):
                 break
             if roster.fresh:
                 return None
             since = heard
-        else:
-            if since is not None and now - since > REMEMBERED:
-                return None
-        return max(timedelta(0), now - since - self.settle) if since else timedelta(0)
+        return since
 
 
 @dataclass(frozen=True, slots=True)
--- a/opalgauge/lab/cores.py
+++ b/opalgauge/lab/cores.py
@@ -32,11 +32,18 @@
     return [*many, [9, "entreprise", 2, total * 0.05]]
 
 
-def _specs(address: str, seconds: float, rate: float, connections: int, tag: str) -> list[dict[str, Any]]:
+def _specs(
+    address: str,
+    seconds: float,
+    rate: float,
+    connections: int,
+    tag: str,
+    asked: list[list[Any]] | None = None,
+) -> list[dict[str, Any]]:
     return [
         {
             "address": address, "seconds": seconds, "connections": connections // CLIENTS,
-            "rate": rate / CLIENTS, "accounts": accounts(), "seed": n + 1, "tag": f"{tag}{n}-",
+            "rate": rate / CLIENTS, "accounts": asked or accounts(), "seed": n + 1, "tag": f"{tag}{n}-",
         }
         for n in range(CLIENTS)
     ]  # fmt: skip
@@ -134,8 +141,9 @@
     """
     with town(cores, delay=0.02) as made:
         began = time.time()
-        results(loads(_specs(made.address, 2.0, 0, 16 * cores, "w")), 30)
-        running = loads(_specs(made.address, seconds, rate, 128 * cores, "h"))
+        inside = accounts()[:-1]  # so that whatever is refused is refused for the worker's sake
+        results(loads(_specs(made.address, 2.0, 0, 16 * cores, "w", inside)), 30)
+        running = loads(_specs(made.address, seconds, rate, 128 * cores, "h", inside))
         time.sleep(0.4 * seconds)
         victim = made.seat(cores - 1)
         os.kill(victim.pid, signal.SIGSTOP if how == "stall" else signal.SIGKILL)
@@ -170,16 +178,61 @@
     return out
 
 
-def bench(cores: Sequence[int], seconds: float, say: Callable[[str], None]) -> dict[str, Any]:
+def uneven(cores: int, seconds: float, say: Callable[[str], None]) -> dict[str, Any]:
+    """One account is half of all traffic: what each worker's CPU did meanwhile, in closed loop."""
+    many = accounts()[:-1]
+    many[0][3] = sum(a[3] for a in many[1:])
+    with town(cores) as made:
+        results(loads(_specs(made.address, 3.0, 0, 48 * cores, "w", many)), 30)
+        seats = [made.seat(n) for n in range(cores)]
+        before = [sum(p.cpu_times()[:2]) for p in seats]
+        told = results(loads(_specs(made.address, seconds, 0, 48 * cores, "u", many)), seconds + 30)
+        took = max(t["took"] for t in told)
+        busy = [(sum(p.cpu_times()[:2]) - b) / took for p, b in zip(seats, before, strict=True)]
+        made.close()
+    out = {
+        "cores": cores, "requests_per_s": round(sum(_status(told).values()) / took),
+        "cpu_by_worker": [round(b, 2) for b in busy], "lost": _sum(told, "lost"),
+        "doubled": sum(n["doubled"] for n in made.seen["node"]),
+    }  # fmt: skip
+    say(f"uneven: {cores} cores at {out['requests_per_s']}/s, CPU by worker {out['cpu_by_worker']}")
+    return out
+
+
+def _median(runs: list[dict[str, Any]]) -> dict[str, Any]:
+    """The round in the middle by throughput; what must not happen is added up over all of them."""
+    middle = sorted(runs, key=lambda r: r["requests_per_s"])[(len(runs) - 1) // 2]
+    sums = {key: sum(r[key] for r in runs) for key in ("lost", "doubled", "late")}
+    each = [(r["requests_per_s"], r["cpu_us_per_request"]) for r in runs]
+    worst = max(r["drift_percent"] for r in runs)
+    passed = any(r["ceiling_passed"] for r in runs)
+    return {**middle, **sums, "drift_percent": worst, "ceiling_passed": passed, "rounds": each}
+
+
+def bench(cores: Sequence[int], seconds: float, rounds: int, say: Callable[[str], None]) -> dict[str, Any]:
     """All of it; the JSON that `opalgauge bench cores` writes."""
     here = os.cpu_count()
     say(f"{here} cores on this machine, which also carry {CLIENTS} clients, 2 nodes and the counter")
-    runs = [measure(n, seconds, say) for n in cores]
+    by_count: dict[int, list[dict[str, Any]]] = {n: [] for n in cores}
+    for _ in range(rounds):  # in turn: the machine's speed drifts
+        for n in cores:
+            by_count[n].append(measure(n, seconds, say))
+    runs = [_median(by_count[n]) for n in cores]
+    one = next((r for r in runs if r["cores"] == 1), None)
+    for run in runs:
+        times = f", {run['requests_per_s'] / one['requests_per_s']:.2f} times one core" if one else ""
+        say(f"median: {run['cores']} cores {run['requests_per_s']}/s{times}")
     several = [n for n in cores if n > 1]
-    out: dict[str, Any] = {"machine_cores": os.cpu_count(), "seconds": seconds, "runs": runs}
+    out: dict[str, Any] = {
+        "machine_cores": os.cpu_count(),
+        "seconds": seconds,
+        "rounds": rounds,
+        "runs": runs,
+    }
     if several:
         chosen = min(several, key=lambda n: abs(n - 4))
         rate = 0.4 * next(r["requests_per_s"] for r in runs if r["cores"] == chosen)
         for how in ("stall", "kill"):
             out[how] = harm(chosen, rate, how, say)
+        out["uneven"] = uneven(chosen, seconds, say)
     return out
--- /dev/null
+++ b/opalgauge/lab/request.py
@@ -0,0 +1,263 @@
+"""What one request costs, by part: `opalgauge bench request`.
+
+Each part is run by itself, in this process and without sockets, on the objects that serving uses; then an
+ingress of one core is loaded in a closed loop, and its whole CPU time is shared out over the requests it
+answered. The parts leave out the event loop and the system's own work, which the whole includes. Rounds take
+turns over the parts, since the speed of a shared machine drifts; the median of the rounds is told.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import statistics
+import time
+from collections.abc import Callable
+from datetime import UTC, datetime, timedelta
+from typing import Any, cast
+
+from aiohttp import web
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http_parser import HttpRequestParser
+from aiohttp.http_writer import StreamWriter
+
+from opalgauge.lab.town import loads, results, town
+from opalgauge.memory import effects as fx
+from opalgauge.memory import events as ev
+from opalgauge.memory.reducer import Reducer
+from opalgauge.memory.state import House
+from opalgauge.wire import quota_counter, stock_nodes
+from opalgauge.wire.clients import Trade, read_order
+from opalgauge.wire.line import MOST_BODY, MOST_TOTAL, LineProtocol, Understand
+from starlinggap import interface as i
+
+START = datetime(2026, 12, 1, 6, 0, tzinfo=UTC)
+REQUEST = (
+    b"POST /place-order/1007/1 HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: 9b1f03aa5c7e2d41\r\n"
+    b"X-Tier: negoce\r\nCookie: customer=00000000000003ef\r\nX-Time-Left: 2.0\r\n"
+    b"X-Call-Terms: units=1,spread=1,first=0\r\nContent-Length: 64\r\n\r\n" + b"x" * 64
+)
+TRADE = Trade([("stock-check", True), ("place-order", False)], ["negoce"], 4.0, 1)
+SETTINGS = i.Settings(
+    classes=(
+        i.RequestClass(0.4, 1.2, 2.0),
+        i.RequestClass(0.8, 3.0, 5.0, effect=i.Effect.UNSAFE),
+    ),
+    plans=(i.Plan(rate=1e5, burst=1e6),),
+    most_units=4.0,
+    counter=True,
+    counter_timeout=0.08,
+    max_attempts=4,
+    cancel=True,
+)
+NODES = tuple(ev.StockNode(f"127.0.0.1:{7000 + n}", i.ServerEntry(n, i.Health.READY)) for n in range(1, 5))
+TOTAL = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n12.5"
+DONE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+
+
+class Sink(asyncio.Transport):
+    """A transport that takes all and sends nothing."""
+
+    def write(self, data: Any) -> None:
+        pass
+
+    def writelines(self, list_of_data: Any) -> None:
+        pass
+
+    def is_closing(self) -> bool:
+        return False
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        pass
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return default
+
+
+class Asker(BaseProtocol):
+    """As much of a client's connection as aiohttp's requests look at."""
+
+    ssl_context = peername = sockname = None
+
+
+class Line(LineProtocol):
+    """A line whose kept connection is not looked at: it has no socket."""
+
+    def _stale(self) -> bool:
+        return False
+
+
+def _errand() -> ev.Errand:
+    return ev.Errand("POST", "/place-order/1007/1", "9b1f03aa5c7e2d41", (), b"x" * 64)
+
+
+def _http_in(loop: asyncio.AbstractEventLoop) -> Callable[[int], None]:
+    protocol = Asker(loop)
+
+    def run(many: int) -> None:
+        for number in range(many):
+            parser = HttpRequestParser(protocol, loop, 2**16, max_line_size=8190, max_field_size=8190)
+            ((message, payload),) = parser.feed_data(REQUEST)[0]
+            request = web.BaseRequest(
+                message, payload, cast(Any, protocol), cast(Any, None), cast(Any, None), loop,
+            )  # fmt: skip
+            read_order(request, number, 1, payload.read_nowait(-1), TRADE)
+
+    return run
+
+
+def _http_out(loop: asyncio.AbstractEventLoop) -> Callable[[int], None]:
+    protocol = Asker(loop)
+    protocol.transport = Sink()
+    parser = HttpRequestParser(protocol, loop, 2**16, max_line_size=8190, max_field_size=8190)
+    ((message, payload),) = parser.feed_data(REQUEST)[0]
+
+    async def answers(many: int) -> None:
+        for _ in range(many):
+            request = web.BaseRequest(
+                message, payload, cast(Any, protocol), StreamWriter(protocol, loop), cast(Any, None), loop
+            )
+            response = web.Response(status=200, body=b"done")
+            response.headers["Content-Type"] = "application/octet-stream"
+            await response.prepare(request)
+            await response.write_eof()
+
+    return lambda many: loop.run_until_complete(answers(many))
+
+
+def _lines(
+    loop: asyncio.AbstractEventLoop,
+    understand: Understand,
+    most: int,
+    out: Callable[[int], bytes],
+    back: bytes,
+) -> Callable[[int], None]:
+    """Wording a call, and reading its answer, over one kept connection."""
+    line = Line(1, loop, lambda _: None, understand, most)
+    line.connection_made(Sink())
+
+    def run(many: int) -> None:
+        for number in range(many):
+            line.send(out(number))
+            line.data_received(back)
+
+    return run
+
+
+class Desk:
+    """A reducer driven through whole requests: the counter and the nodes answer at once."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.now, self.number = START, 0
+        self.reducer = Reducer(
+            House(
+                SETTINGS, 5, "127.0.0.1:6400", "", 0, NODES, timedelta(milliseconds=100),
+                timedelta(seconds=9), timedelta(milliseconds=80), 400, 400, 400, 133,
+            )
+        )  # fmt: skip
+        self.reducer.start(self.now)
+
+    def run(self, many: int) -> None:
+        step = self.reducer.step
+        for _ in range(many):
+            self.now += timedelta(microseconds=400)
+            self.number += 1
+            n = self.number
+            if n == 1:
+                step(ev.ClientCame(1), self.now)
+            order = ev.OrderTaken(
+                n, _errand(), 1, 0, 1007, timedelta(seconds=2), 1.0, 1, 0, False, 1,
+            )  # fmt: skip
+            todo = step(order, self.now)
+            while todo:
+                more: list[fx.Effect] = []
+                for effect in todo:
+                    if isinstance(effect, fx.OpenLine):
+                        more += step(ev.LineUp(effect.line), self.now)
+                    elif isinstance(effect, fx.CallCounter):
+                        answer = ev.CounterAnswered(effect.line, i.End.OK, max(1.0, effect.amount), True)
+                        more += step(answer, self.now)
+                    elif isinstance(effect, fx.SendAttempt):
+                        more += step(
+                            ev.NodeAnswered(effect.line, i.End.OK, True, b"done", "text/plain"), self.now
+                        )
+                todo = more
+
+
+class Timed:
+    """The decisions of a desk, and the time spent in them."""
+
+    def __init__(self, desk: Desk) -> None:
+        self.handle, self.spent = desk.reducer.gateway.handle, 0.0
+        desk.reducer.gateway.handle = self._timed  # type: ignore[method-assign]
+
+    def _timed(self, now: float, events: list[i.Event]) -> list[i.Action]:
+        began = time.process_time()
+        actions = self.handle(now, events)
+        self.spent += time.process_time() - began
+        return actions
+
+
+def parts(rounds: int, many: int) -> dict[str, float]:
+    """CPU microseconds a request by part: the median of the rounds."""
+    loop = asyncio.new_event_loop()
+    desk, split = Desk(loop), Desk(loop)
+    timed = Timed(split)
+    life = timedelta(seconds=30)
+    two_seconds = timedelta(seconds=2)
+    runs: dict[str, Callable[[int], None]] = {
+        "http_in": _http_in(loop),
+        "http_out": _http_out(loop),
+        "counter": _lines(
+            loop, quota_counter.understand_total, MOST_TOTAL,
+            lambda n: quota_counter.call_bytes(0x9E3779B97F4A7C15 ^ n, 1.0, life), TOTAL,
+        ),
+        "stock_node": _lines(
+            loop, stock_nodes.understand_attempt, MOST_BODY,
+            lambda _: stock_nodes.attempt_bytes(_errand(), two_seconds), DONE,
+        ),
+        "reducer_and_decisions": desk.run,
+    }  # fmt: skip
+    times: dict[str, list[float]] = {name: [] for name in (*runs, "decisions")}
+    for _ in range(rounds):
+        for name, run in runs.items():
+            run(many // 10)
+            began = time.process_time()
+            run(many)
+            times[name].append((time.process_time() - began) / many * 1e6)
+        timed.spent = 0.0
+        split.run(many)
+        times["decisions"].append(timed.spent / many * 1e6)
+    loop.close()
+    return {name: round(statistics.median(took), 1) for name, took in times.items()}
+
+
+def whole(seconds: float) -> tuple[float, float]:
+    """CPU microseconds a request and requests a second of one core in a closed loop, four stock nodes."""
+    spec = {
+        "seconds": 1.0, "connections": 32, "rate": 0, "seed": 1, "tag": "r",
+        "accounts": [[1000 + n, "negoce", 1, 1.0] for n in range(200)],
+    }  # fmt: skip
+    with town(1) as made:
+        spec["address"] = made.address
+        results(loads([spec]), 30)
+        before = made.cost()[0]
+        (told,) = results(loads([{**spec, "seconds": seconds, "tag": "s"}]), seconds + 30)
+        spent = made.cost()[0] - before
+        made.close()
+    answered = sum(told["status"].values())
+    return spent / answered * 1e6, answered / told["took"]
+
+
+def bench(rounds: int, seconds: float, say: Callable[[str], None]) -> dict[str, Any]:
+    """All of it; the JSON that `opalgauge bench request` writes."""
+    told = parts(rounds, 4000)
+    for name, took in told.items():
+        say(f"{name:>22} {took:>7.1f} us")
+    wholes = [whole(seconds) for _ in range(rounds)]
+    cpu = statistics.median(w[0] for w in wholes)
+    per_s = statistics.median(w[1] for w in wholes)
+    say(f"{'whole, on loopback':>22} {cpu:>7.1f} us of CPU, {per_s:.0f} requests a second")
+    return {
+        "parts_us": told, "cpu_us_per_request": round(cpu, 1), "requests_per_s": round(per_s),
+        "cpu_us_rounds": [round(w[0], 1) for w in wholes], "rounds": rounds,
+    }  # fmt: skip
--- a/opalgauge/lab/town.py
+++ b/opalgauge/lab/town.py
@@ -21,8 +21,7 @@
 
 NEGOCE = "tariff negoce rate=100000/s burst=1000000 price=1.6"
 ENTREPRISE = (
-    "tariff entreprise rate=60/s burst=120 price=1.3 "
-    "ceiling-rate=120/s ceiling-burst=240 ceiling-slack=24"
+    "tariff entreprise rate=60/s burst=120 price=1.3 ceiling-rate=120/s ceiling-burst=240 ceiling-slack=24"
 )
 CEILING = 120.0, 240.0, 24.0  # units a second, depth, slack of it
 WINDOW = {"negoce": 10.0, "entreprise": 2.0}  # s
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -294,11 +294,12 @@
             # Guards against an attempt for what is over: the decisions hear that it was not sent.
             self._ended(attempt, i.End.MOOT)
             return
-        if not self.house.settings.parallel and any(k[0] == order.number for k in self.books.attempts):
+        if not self.house.settings.parallel and order.out:
             # Guards against a second attempt while the first is out, whoever asks for it.
             self._ended(attempt, i.End.MOOT)
             return
         self.books.attempts[action.request, number] = attempt
+        order.out += 1
         self._at(stop_at, self._stop, attempt)
         self._carry(attempt)
 
@@ -338,9 +339,10 @@
         if attempt.probe:
             self.news.append(i.Probed(attempt.node, end, took, load or {}))
             return
-        self.books.attempts.pop((attempt.order, attempt.number), None)
+        was_out = self.books.attempts.pop((attempt.order, attempt.number), None) is not None
         order = self.books.orders.get(attempt.order)
         if order:
+            order.out -= was_out
             order.may_have_run = order.may_have_run or end not in i.NEVER_RAN
             order.timed_out = end is i.End.TIMEOUT
         self.news.append(
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -107,6 +107,7 @@
     first: bool = False  # the first that came over its connection
     core: int | None = None  # that decides about it, where it is not this one
     attempts: int = 0
+    out: int = 0  # of the attempts, those that have not ended
     may_have_run: bool = False
     timed_out: bool = False
 
--- a/opalgauge/wire/line.py
+++ b/opalgauge/wire/line.py
@@ -9,10 +9,9 @@
 
 import asyncio
 import contextlib
-import os
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import cast
 
@@ -195,7 +194,7 @@
         and against taking what it sent unasked for the answer; the loop may yet have to tell of either.
         """
         try:
-            with self._own_socket() as held:
+            with self._borrowed() as held:
                 held.recv(1, socket.MSG_PEEK)
             return True
         except BlockingIOError:
@@ -203,14 +202,21 @@
         except (OSError, ValueError):
             return True
 
-    def _own_socket(self) -> socket.socket:
-        """The connection's socket under a descriptor of its own, for the moment.
+    @contextlib.contextmanager
+    def _borrowed(self) -> Iterator[socket.socket]:
+        """The connection's socket, for the moment.
 
-        Guards against closing the loop's descriptor: its number would soon be another connection's, and bytes
-        of one would go to the other. An object kept under the loop's number does that when it is collected.
+        It stands on the loop's own descriptor and lets go of it. Guards against closing that: its number
+        would soon be another connection's, and bytes of one would go to the other. With its kind told, making
+        it asks the system nothing.
         """
         assert self.transport is not None
-        return socket.socket(fileno=os.dup(self.transport.get_extra_info("socket").fileno()))
+        theirs = self.transport.get_extra_info("socket")
+        held = socket.socket(theirs.family, socket.SOCK_STREAM, 0, fileno=theirs.fileno())
+        try:
+            yield held
+        finally:
+            held.detach()
 
     def end(self) -> None:
         """Ends the connection before anything else is sent on another; nothing more is reported."""
@@ -218,7 +224,7 @@
         if self.transport is not None:
             # Guards against the loop's habit of closing a socket a turn later, when a further attempt would
             # already be out.
-            with contextlib.suppress(OSError, ValueError), self._own_socket() as held:
+            with contextlib.suppress(OSError, ValueError), self._borrowed() as held:
                 held.shutdown(socket.SHUT_RDWR)
             self.transport.abort()
 
