Keep a lost worker's answered connections until their clients ask again

Its client had its answer from the worker that was killed before it could say so, and asked again on the connection just as the guardian closed it.

Change: such a connection is kept for a second and dealt on as soon as the client asks again, which proves that it had the whole answer. A connection that is dealt on carries the count of bytes read from it, so that a second loss is judged rightly. The kernel's counts are taken until two looks agree: bytes that came between them gave a negative count and broke the deal. A guardian that cannot listen says so and ends.

--- a/opalgauge/cores/board.py
+++ b/opalgauge/cores/board.py
@@ -103,12 +103,12 @@
         self.memory[place : place + 8] = bytes(8)
 
     # --- marks ---------------------------------------------------------------------------------------------
-    def fresh(self, slot: int) -> None:
-        """A connection begins, or begins anew at another worker."""
+    def fresh(self, slot: int, consumed: int = 0) -> None:
+        """A connection begins, or goes on at another worker after `consumed` bytes."""
         # Tags go on: guards a request against what is still said of the one before it in the same place.
         at = self.marks_at + slot * MARK_SIZE
         tag = self.mark(slot).tag
-        MARK.pack_into(self.memory, at, 0, 0, 0, tag, 0, 0)
+        MARK.pack_into(self.memory, at, consumed, 0, 0, tag, 0, 0)
         self.memory[at + OPEN_AT] = 0
 
     def opened(
--- a/opalgauge/cores/guardian.py
+++ b/opalgauge/cores/guardian.py
@@ -36,6 +36,7 @@
 LOADS = 1.0  # s between weighings of the accounts
 ACCEPT = 64  # connections taken in a turn of the loop
 BACKLOG = 512
+KEPT = 1.0  # s that a client has to ask again on a connection whose worker ended just after its answer
 STASHED = 4096  # answers kept for connections that are about to be taken over
 RETRY_MS = 200  # a client that is refused here finds another worker by then
 
@@ -286,7 +287,13 @@
     # --- clients -------------------------------------------------------------------------------------------
     def _open_doors(self, _: w.OpenDoors) -> None:
         assert self.listener is not None
-        self.listener.listen(BACKLOG)
+        try:
+            self.listener.listen(BACKLOG)
+        except OSError as bad:
+            # Guards against another program that took the address while the workers came up.
+            self.log(f"cannot start: {bad}")
+            self._quit(w.Quit(2))
+            return
         self.loop.add_reader(self.listener.fileno(), self._accept)
         host, port = self.config.listen
         known = len(self.config.house.known)
@@ -316,17 +323,16 @@
             if not self.free:
                 sock.close()  # the workers make room as they would alone; here every place is taken
                 continue
-            slot = self.free.pop()
-            self.board.fresh(slot)
-            self._deal(slot, Client(sock, -1, 0))
+            self._deal(self.free.pop(), Client(sock, -1, 0), 0)
 
-    def _deal(self, slot: int, client: Client) -> None:
+    def _deal(self, slot: int, client: Client, consumed: int) -> None:
         """Gives a connection, between two requests, to the worker that holds the fewest."""
         self.clients[slot] = client
         client.awaits = None
+        self.board.fresh(slot, consumed)
         ready = [self.lives[n] for n in self.watch.serving if not self.lives[n].ended]
         for life in sorted(ready, key=lambda x: (x.held, x.seat)):
-            if life.channel.say(sp.Deal(slot), client.sock.fileno()):
+            if life.channel.say(sp.Deal(slot, consumed), client.sock.fileno()):
                 client.seat, client.life = life.seat, life.number
                 life.held += 1
                 return
@@ -374,12 +380,11 @@
     def _inherit(self, slot: int, client: Client, gone: frozenset[int]) -> None:
         mark = self.board.mark(slot)
         now = course(mark, sockets.kernel(client.sock), gone)
-        if now is Course.DEAL and self.draining:
-            now = Course.REFUSE if sockets.unread(client.sock) else Course.CLOSE
         if now is Course.DEAL:
-            self._count_off(client)
-            self.board.fresh(slot)
-            self._deal(slot, client)
+            self._deal_on(slot, client)
+        elif now is Course.KEEP:
+            self.loop.add_reader(client.sock.fileno(), self._asks_again, slot)
+            client.timer = self.loop.call_later(KEPT, self._asks_again, slot)
         elif now is Course.AWAIT:
             client.awaits = mark
             wait = max(0.0, (mark.until - time.monotonic_ns()) / 1e9 - 0.01)
@@ -396,6 +401,28 @@
         else:
             self._last(slot, b"")
 
+    def _deal_on(self, slot: int, client: Client) -> None:
+        """A connection of a life that has ended, between two requests."""
+        if self.draining:
+            # Nobody takes it any more; what it has just asked is refused, and a quiet one closed.
+            asks = sockets.unread(client.sock) > 0
+            self._last(slot, sockets.answer_bytes(503, retry_ms=RETRY_MS) if asks else b"")
+        else:
+            self._count_off(client)
+            self._deal(slot, client, sockets.kernel(client.sock).consumed)
+
+    def _asks_again(self, slot: int) -> None:
+        """A connection that was left with its answer has asked again, has ended, or was quiet for long."""
+        client = self.clients[slot]
+        self.loop.remove_reader(client.sock.fileno())
+        if client.timer is not None:
+            client.timer.cancel()
+            client.timer = None
+        if sockets.unread(client.sock):
+            self._deal_on(slot, client)
+        else:
+            self._last(slot, b"")
+
     def _settle(self, slot: int, failed: int = 502) -> None:
         """Nobody is at work on it any more, or its time is up."""
         client = self.clients.get(slot)
--- a/opalgauge/cores/sockets.py
+++ b/opalgauge/cores/sockets.py
@@ -20,6 +20,7 @@
 SENT = struct.Struct("<QQ")  # at 200: bytes_sent, bytes_retrans
 WORDS = {200: "OK", 429: "Too Many Requests", 502: "Bad Gateway", 503: "Service Unavailable",
          504: "Gateway Timeout"}  # fmt: skip
+LOOKS = 100  # at a connection on which bytes keep coming
 LINGER = 1.0  # s for the client to read its answer and close
 
 
@@ -49,10 +50,15 @@
     """How far a connection came, whoever read from it and wrote to it."""
     try:
         info = _info(sock)
+        for _ in range(LOOKS):
+            waits, before = unread(sock), info
+            info = _info(sock)
+            if info[128:136] == before[128:136]:
+                break  # guards against bytes that come between the two looks
     except OSError:
         return Kernel(0, 0, False)
     received = RECEIVED.unpack_from(info, 128)[0]
-    return Kernel(received - unread(sock), written(sock), info[0] in (ESTABLISHED, CLOSE_WAIT))
+    return Kernel(max(0, received - waits), written(sock), info[0] in (ESTABLISHED, CLOSE_WAIT))
 
 
 def answer_bytes(status: int, body: bytes = b"", content_type: str = "", retry_ms: int = -1) -> bytes:
--- a/opalgauge/cores/speech.py
+++ b/opalgauge/cores/speech.py
@@ -38,9 +38,11 @@
 
 
 class Deal(Message, tag=2):
-    """A client's connection; its descriptor comes beside the message."""
+    """A client's connection; its descriptor comes beside the message. `consumed`: bytes that other workers
+    have read from it, all of them of requests that have their answers."""
 
     slot: int
+    consumed: int
 
 
 class Link(Message, tag=3):
--- a/opalgauge/cores/takeover.py
+++ b/opalgauge/cores/takeover.py
@@ -43,6 +43,7 @@
 class Course(Enum):
     CLOSE = "close"  # nothing is owed on it
     DEAL = "deal"  # as good as new: another worker takes it
+    KEEP = "keep"  # it has its answer: dealt on once it asks again: it had all of the answer
     AWAIT = "await"  # another worker is at work on its request; its answer goes out here
     REFUSE = "refuse"  # nothing has run, or a repeat is harmless
     FAIL = "fail"  # it may have run
@@ -59,8 +60,9 @@
         return Course.CLOSE
     if mark.open:
         if kernel.written > mark.written:
-            # Guards against a second answer: this one has left, in whole or in part.
-            return Course.CLOSE
+            # Guards against a second answer: this one has left, in whole or in part. And against closing on
+            # a client that has read it and is just asking again.
+            return Course.KEEP if kernel.consumed == mark.consumed else Course.CLOSE
         return settled(mark) if mark.owner in gone else Course.AWAIT
     if kernel.consumed != mark.consumed:
         # Guards against handing on the rest of a request whose beginning went with the worker.
--- a/opalgauge/cores/worker.py
+++ b/opalgauge/cores/worker.py
@@ -314,7 +314,7 @@
     # --- what the guardian says ----------------------------------------------------------------------------
     def _told(self, message: Any, fd: int | None) -> None:
         if isinstance(message, sp.Deal) and fd is not None:
-            self.loop.create_task(self._deal(message.slot, socket.socket(fileno=fd)))
+            self.loop.create_task(self._deal(message, socket.socket(fileno=fd)))
         elif isinstance(message, sp.Link) and fd is not None:
             self.loop.create_task(self._join(message, socket.socket(fileno=fd)))
         elif isinstance(message, sp.RosterIs):
@@ -354,13 +354,14 @@
         if self.leaving:
             self.over.set()
 
-    async def _deal(self, slot: int, sock: socket.socket) -> None:
+    async def _deal(self, message: sp.Deal, sock: socket.socket) -> None:
         sock.setblocking(False)
+        slot = message.slot
 
         def make() -> RequestHandler:
             handler = self.clients.server()
             assert isinstance(handler, Counted)
-            handler.slot = slot
+            handler.slot, handler.came_in = slot, message.consumed
             self.socks[handler] = sock
             return handler
 
--- a/opalgauge/lab/cores.py
+++ b/opalgauge/lab/cores.py
@@ -151,7 +151,7 @@
         told = results(running, seconds + 30)
         ended = time.time()
         new = made.seat(cores - 1).pid
-        log = [line for line in made.lines if "worker" in line]
+        log = [line for line in made.lines if "worker " in line]
         made.close()
     tenths: dict[int, int] = {}
     for t in told:
--- a/opalgauge/lab/town.py
+++ b/opalgauge/lab/town.py
@@ -102,7 +102,8 @@
 
 
 def _read(stream: IO[str], lines: list[str]) -> None:
-    lines += [line.rstrip() for line in iter(stream.readline, "")]
+    for line in iter(stream.readline, ""):
+        lines.append(line.rstrip())  # one at a time: it is looked at while more come
 
 
 @contextlib.contextmanager
--- a/tests/test_cores_pure.py
+++ b/tests/test_cores_pure.py
@@ -345,8 +345,8 @@
             expected = Course.CLOSE
         elif not is_open:
             expected = Course.REFUSE if read else Course.DEAL
-        elif wrote:
-            expected = Course.CLOSE  # it has its answer
+        elif wrote:  # it has its answer
+            expected = Course.CLOSE if read else Course.KEEP
         elif owner:
             expected = Course.AWAIT
         else:
