--- a/opalgauge/cores/guardian.py
+++ b/opalgauge/cores/guardian.py
@@ -36,6 +36,7 @@
 LOADS = 1.0  # s between weighings of the accounts
 ACCEPT = 64  # connections taken in a turn of the loop
 BACKLOG = 512
+DRAIN_SPARE = 2.0  # s beyond the longest deadline that a draining worker has
 KEPT = 1.0  # s that a client has to ask again on a connection whose worker ended just after its answer
 STASHED = 4096  # answers kept for connections that are about to be taken over
 RETRY_MS = 200  # a client that is refused here finds another worker by then
@@ -102,11 +103,12 @@
             w.Say: lambda e: self.log(e.text),
         }  # fmt: skip
 
-    @staticmethod
-    def _figures(reading: Reading) -> w.Figures:
+    def _figures(self, reading: Reading) -> w.Figures:
+        longest = max(c.deadline for c in self.config.house.settings.classes)
         return w.Figures(
-            reading.workers, reading.stall_after, reading.restart_pause, reading.restart_pause_most
-        )
+            reading.workers, reading.stall_after, reading.restart_pause, reading.restart_pause_most,
+            drain_limit=timedelta(seconds=longest + DRAIN_SPARE),
+        )  # fmt: skip
 
     def step(self, event: w.Event) -> None:
         self._perform(self.watch.step(event, self.clock.now()))
