Let the load tool ask once more where a close crossed its request

An ingress may close a connection that stood idle, and the close may cross a request; the platform's clients then send it once more, the tool did not.

Change: the tool asks once more where nothing had come back, and tells how often; nodes would see an id twice.

--- a/opalgauge/lab/cores.py
+++ b/opalgauge/lab/cores.py
@@ -166,6 +166,7 @@
     out = {
         "cores": cores, "rate": round(rate), "lost": _sum(told, "lost") + _sum(told, "wrong"),
         "doubled": sum(n["doubled"] for n in made.seen["node"]), "late": _sum(told, "late"),
+        "resent": _sum(told, "resent"),
         "failed": {k: v for k, v in _status(told).items() if k != "200"},
         "seconds_until_full_service": round((full - at) / 10, 1), "drift_percent": round(drift(units), 3),
         "new_life": new != victim.pid, "log": log[-4:],
--- a/opalgauge/lab/load.py
+++ b/opalgauge/lab/load.py
@@ -34,6 +34,7 @@
     served: dict[str, int] = field(default_factory=dict)
     asked: int = 0
     lost: int = 0
+    resent: int = 0  # their connection ended before anything came back; asked once more
     late: int = 0
     wrong: int = 0
     moments: list[tuple[float, int]] = field(default_factory=list)  # of answers, and whether served
@@ -45,15 +46,20 @@
     def __init__(self, load: Load) -> None:
         self.load, self.held = load, b""
         self.transport: Any = None
-        self.asked: tuple[float, float, str] | None = None  # intended start, time-out, account
+        self.asked: tuple[float, float, str] | None = None  # intended start, sent at, account
+        self.data, self.again = b"", False  # what was asked, and whether for the second time
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
         self.load.free(self)
 
     def ask(self, intended: float) -> None:
-        data, account = self.load.request()
-        self.asked = intended, time.perf_counter(), account
+        self.data, account = self.load.request()
+        self.asked, self.again = (intended, time.perf_counter(), account), False
+        self.transport.write(self.data)
+
+    def ask_again(self, data: bytes, asked: tuple[float, float, str]) -> None:
+        self.data, self.asked, self.again = data, asked, True
         self.transport.write(data)
 
     def data_received(self, data: bytes) -> None:
@@ -78,9 +84,14 @@
             self.load.free(self)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        if self.asked is not None:
+        if self.asked is not None and not self.again and not self.held:
+            # An ingress may close between requests, and the close may cross a request that it has not read:
+            # the platform's clients send that once more. Had it been sent on, the nodes see its id twice.
+            self.load.crossed.append((self.data, self.asked))
+            self.load.tally.resent += 1
+        elif self.asked is not None:
             self.load.tally.lost += 1
-            self.asked = None
+        self.asked = None
         self.load.gone(self)
 
 
@@ -92,6 +103,7 @@
         self.tally = Tally()
         self.histogram = HdrHistogram(1, HIGHEST, 3)
         self.idle: list[Connection] = []
+        self.crossed: deque[tuple[bytes, tuple[float, float, str]]] = deque()
         self.due: deque[float] = deque()  # intended starts that wait for a connection
         self.out = 0
         self.over = False
@@ -128,6 +140,9 @@
         self.histogram.record_value(min(HIGHEST, max(1, int(took * 1e6))))
 
     def free(self, connection: Connection) -> None:
+        if self.crossed and not connection.transport.is_closing():
+            connection.ask_again(*self.crossed.popleft())
+            return
         if self.over or connection.transport.is_closing():
             return
         if self.spec["rate"]:
@@ -141,7 +156,7 @@
     def gone(self, connection: Connection) -> None:
         if connection in self.idle:
             self.idle.remove(connection)
-        if not self.over:
+        if not self.over or self.crossed:
             self.loop.create_task(self.dial())
 
     async def dial(self) -> None:
@@ -184,7 +199,8 @@
             tenth = int((moment - began) * 10)
             tenths[tenth] = tenths.get(tenth, 0) + good
         return {
-            "asked": t.asked, "status": t.status, "served": t.served, "lost": t.lost, "late": t.late,
+            "asked": t.asked, "status": t.status, "served": t.served, "lost": t.lost + len(self.crossed),
+            "resent": t.resent, "late": t.late,
             "unasked": len(self.due), "wrong": t.wrong, "took": took, "began": began_unix,
             "first": first - began, "tenths": tenths, "histogram": self.histogram.encode().decode(),
         }  # fmt: skip
