Try a deal again while the channel of the worker that is left is full

Where no worker took a dealt connection at once, the guardian answered it 503, although its client might not have asked anything.

Change: such a deal is tried again every 10 ms for 0.4 s; then a client that has asked is refused, and a quiet connection is closed without a word.

Serving on one core is untouched.

--- a/opalgauge/cores/guardian.py
+++ b/opalgauge/cores/guardian.py
@@ -37,6 +37,7 @@
 ACCEPT = 64  # connections taken in a turn of the loop
 BACKLOG = 512
 DRAIN_SPARE = 2.0  # s beyond the longest deadline that a draining worker has
+DEALS, DEAL_PAUSE = 40, 0.01  # tries to deal a connection, and s between them
 KEPT = 1.0  # s that a client has to ask again on a connection whose worker ended just after its answer
 STASHED = 4096  # answers kept for connections that are about to be taken over
 RETRY_MS = 200  # a client that is refused here finds another worker by then
@@ -327,7 +328,7 @@
                 continue
             self._deal(self.free.pop(), Client(sock, -1, 0), 0)
 
-    def _deal(self, slot: int, client: Client, consumed: int) -> None:
+    def _deal(self, slot: int, client: Client, consumed: int, tries: int = DEALS) -> None:
         """Gives a connection, between two requests, to the worker that holds the fewest."""
         self.clients[slot] = client
         client.awaits = None
@@ -338,7 +339,13 @@
                 client.seat, client.life = life.seat, life.number
                 life.held += 1
                 return
-        self._last(slot, sockets.answer_bytes(503, retry_ms=RETRY_MS))
+        client.seat, client.life = -1, 0
+        if tries > 1:
+            # Guards against a burst, as after a worker's end, that fills the channel of the one that is left.
+            self.loop.call_later(DEAL_PAUSE, self._deal, slot, client, consumed, tries - 1)
+        else:
+            asks = sockets.unread(client.sock) > 0
+            self._last(slot, sockets.answer_bytes(503, retry_ms=RETRY_MS) if asks else b"")
 
     def _forget(self, slot: int) -> None:
         """The connection has ended at its worker: our descriptor of it is the last."""
--- a/tests/test_cores_guardian.py
+++ b/tests/test_cores_guardian.py
@@ -23,7 +23,7 @@
 
     dealt: list[tuple[int, int]]
 
-    def _deal(self, slot: int, client: Client, consumed: int) -> None:
+    def _deal(self, slot: int, client: Client, consumed: int, tries: int = 1) -> None:
         self.dealt.append((slot, consumed))
 
 
