Take a client that is gone at its last answer, and word refusals once

Cause: the guardian kept a set of last answers under way that nothing needed, as the loop holds them. Where the client was gone already, the answer closed at once and looked for itself before it had a name: the error would have left the other connections of a lost worker unsettled.

Change: the set is gone; refusing, and refusing or closing by whether the client has asked, stand in one place each instead of five and two. A test writes a last answer to a client that is gone.

--- a/opalgauge/cores/guardian.py
+++ b/opalgauge/cores/guardian.py
@@ -93,7 +93,6 @@
         self.listener: socket.socket | None = None
         self.over: asyncio.Future[int] = self.loop.create_future()
         self.draining = False
-        self.lasts: set[sockets.Last] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.roster: sp.RosterIs | None = None
         self.do: dict[type, Callable[[Any], None]] = {
@@ -344,8 +343,7 @@
             # Guards against a burst, as after a worker's end, that fills the channel of the one that is left.
             self.loop.call_later(DEAL_PAUSE, self._deal, slot, client, consumed, tries - 1)
         else:
-            asks = sockets.unread(client.sock) > 0
-            self._last(slot, sockets.answer_bytes(503, retry_ms=RETRY_MS) if asks else b"")
+            self._dismiss(slot, client)
 
     def _forget(self, slot: int) -> None:
         """The connection has ended at its worker: our descriptor of it is the last."""
@@ -367,14 +365,18 @@
         if client.timer is not None:
             client.timer.cancel()
         self._count_off(client)
+        # The loop holds on to it until it is closed, which may be at once.
+        sockets.Last(client.sock, data, lambda: self.free.append(slot))
 
-        def over() -> None:
-            self.lasts.discard(last)
-            self.free.append(slot)
+    def _refuse(self, slot: int) -> None:
+        self._last(slot, sockets.answer_bytes(503, retry_ms=RETRY_MS))
 
-        last = sockets.Last(client.sock, data, over)
-        if not last.closed:
-            self.lasts.add(last)
+    def _dismiss(self, slot: int, client: Client) -> None:
+        """Nobody takes the connection: what it has just asked is refused, and a quiet one closed."""
+        if sockets.unread(client.sock):
+            self._refuse(slot)
+        else:
+            self._last(slot, b"")
 
     # --- what a worker left behind -------------------------------------------------------------------------
     def _take_over(self, effect: w.TakeOver) -> None:
@@ -406,16 +408,14 @@
         elif now is Course.FAIL:
             self._last(slot, sockets.answer_bytes(502))
         elif now is Course.REFUSE:
-            self._last(slot, sockets.answer_bytes(503, retry_ms=RETRY_MS))
+            self._refuse(slot)
         else:
             self._last(slot, b"")
 
     def _deal_on(self, slot: int, client: Client) -> None:
         """A connection of a life that has ended, between two requests."""
         if self.draining:
-            # Nobody takes it any more; what it has just asked is refused, and a quiet one closed.
-            asks = sockets.unread(client.sock) > 0
-            self._last(slot, sockets.answer_bytes(503, retry_ms=RETRY_MS) if asks else b"")
+            self._dismiss(slot, client)
         else:
             self._count_off(client)
             self._deal(slot, client, sockets.kernel(client.sock).consumed)
@@ -442,7 +442,7 @@
         if settled(mark) is Course.FAIL:
             self._last(slot, sockets.answer_bytes(failed))
         else:
-            self._last(slot, sockets.answer_bytes(503, retry_ms=RETRY_MS))
+            self._refuse(slot)
 
     def _orphan_answer(self, a: sp.OrphanAnswer) -> None:
         client = self.clients.get(a.slot)
--- a/tests/test_cores_guardian.py
+++ b/tests/test_cores_guardian.py
@@ -107,6 +107,16 @@
     play(scene)
 
 
+def test_a_client_that_is_gone_when_its_last_answer_is_written_gives_its_place_back() -> None:
+    async def scene(hall: Hall, client: socket.socket, ours: socket.socket) -> None:
+        ours.shutdown(socket.SHUT_RDWR)
+        free = len(hall.free)
+        hall._last(3, b"too late")
+        assert len(hall.free) == free + 1 and 3 not in hall.clients
+
+    play(scene)
+
+
 def test_a_connection_that_was_dealt_on_is_known_by_all_the_bytes_that_were_ever_read_from_it() -> None:
     async def scene(hall: Hall, client: socket.socket, ours: socket.socket) -> None:
         await come(ours, ASK, client)
