Draw a cold node by its least capacity beside a warm one's, however many are cold

Line at fault: brain.py choose, 'cold = share < 1 and (n or ...)': a cold node counted only when drawn first of all 60, at 0.75 of its share, and then only if it beat a warm one.

Change: the first candidate is drawn by capacity (least share of a cold node, 1 for a warm one) and a cold one is not held against another. Sent at most 1.5 times a warm node's capacity, where it falls at 2.5.

--- a/starlinggap/brain.py
+++ b/starlinggap/brain.py
@@ -29,7 +29,7 @@
 GLANCE, LULL = 0.05, 0.25  # s between housekeeping rounds, with requests held and without
 RECENT = 0.1  # weight of the newest outcome in a running mean: about the last ten count
 TRUST_COLD = 0.6  # of the fall budget: chance and costly requests need some room
-PEAK = 2.0  # times its capacity: more than this share of what is let in is not met, even in overload
+PEAK = 1.5  # times its capacity: a warm server is sent no more, even before overload sheds
 DRAWN = 8  # servers drawn at most to find two that are fit
 FORGET = 10.0  # s in which what was seen of a server's speed fades; three times it for a customer's verdicts
 ILL = 0.5  # share of a class's late outcomes at a server that failed: above it the server is ejected for it
@@ -210,7 +210,7 @@
         self.sent: list[deque[Attempt]] = [deque() for _ in settings.classes]
         self.pace, self.unanswered = SHED_FROM, 0.0  # time over aim of the last answers; share without one
         self.ticking, self.listed_at = False, -math.inf
-        self.cold_chance = settings.fall_multiple * TRUST_COLD / PEAK
+        self.cold_part = min(1.0, settings.fall_multiple * TRUST_COLD / PEAK)
 
     # --- events ------------------------------------------------------------------------------------------
     def handle(self, now: float, events: list[i.Event]) -> list[Action]:
@@ -527,14 +527,14 @@
         most = work.cls.aim * QUEUE * (BEYOND_ROOM if work.beyond else 1.0)
         fit: list[tuple[int, Server]] = []
         spared: list[tuple[int, Server]] = []  # ejected ones, where nothing else was drawn
-        for n, key in enumerate(self.rng.sample(ready, min(DRAWN, len(ready)))):
+        for n, key in enumerate(self.draw(ready)):
             server = self.servers[key]
-            share = self.coldness(server)
-            # A cold server counts only when drawn first, and then by chance: so all gateways together, many
-            # or few, even or not, send it at most that chance times its part of the fleet's requests.
-            cold = share < 1 and (n or self.rng.random() >= share * self.cold_chance)
-            if cold or key in avoid or len(server.out) * self.slowness(server) * usual >= most:
+            # Guards cold servers: each is sent only what it is drawn first for, never beside another.
+            cold = self.coldness(server) < 1
+            if cold and n or key in avoid or len(server.out) * self.slowness(server) * usual >= most:
                 continue
+            if cold and server.ill.get(cls, [0.0, 0.0])[1] <= self.now:
+                return key
             (spared if server.ill.get(cls, [0.0, 0.0])[1] > self.now else fit).append((key, server))
             if len(fit) == 2:
                 break
@@ -547,6 +547,18 @@
             ill[1] = self.now + ill[2]
         return key
 
+    def draw(self, ready: list[int]) -> list[int]:
+        """Candidates by chance. A cold server comes first as often, beside a warm one, as its least capacity
+        stands beside a whole one: so all gateways together, many or few, even or not, send it that part of
+        what each warm one gets, however many are cold. By rejection: the cost does not grow with servers."""
+        drawn = self.rng.sample(ready, min(DRAWN, len(ready)))
+        for _ in range(DRAWN if drawn else 0):
+            first = self.rng.choice(ready)
+            share = self.coldness(self.servers[first])
+            if share >= 1 or self.rng.random() < share * self.cold_part:
+                return [first, *(k for k in drawn if k != first)]
+        return drawn
+
     def same_group(self, work: Work, key: int) -> bool:
         a, b = self.servers.get(work.risky), self.servers.get(key)
         if a is None or b is None:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -162,13 +162,30 @@
 
 def test_a_missing_cold_guard_is_noticed() -> None:
     source = Path(starlinggap.__file__).with_name("brain.py").read_text()
-    guard = "cold = share < 1 and (n or self.rng.random() >= share * self.cold_chance)"
+    guard = "share >= 1 or self.rng.random() < share * self.cold_part"
     assert guard in source
     module = types.ModuleType("brain_without_the_cold_guard")
-    exec(compile(source.replace(guard, "cold = False"), "brain", "exec"), module.__dict__)  # noqa: S102
+    exec(compile(source.replace(guard, "True"), "brain", "exec"), module.__dict__)  # noqa: S102
     assert cold_fleet("even", module.Gateway)[1] > 1.0
 
 
+def test_where_most_servers_are_cold_they_bear_their_part_and_not_the_warm_ones_all() -> None:
+    # Six in ten replaced within seconds: drawn by chance over all, they were sent an eighth of a warm one's
+    # part while the warm ones were overrun and shed.
+    gateway = Gateway(settings(counter=False, plans=(i.Plan(),), cold=16.0, cold_from=0.15, fall=1.5,
+                               fall_multiple=2.5), 1)  # fmt: skip
+    lines = tuple(entry(n, started=96.0 if n <= 36 else 0.0) for n in range(1, 61))  # at 0.36 of a whole one
+    gateway.handle(100.0, [i.ServerList(i.ListKind.WHOLE, lines)])
+    sent = [0, 0]
+    for n in range(4000):
+        for a in gateway.handle(100.0, [i.Request(n, 0, 0, n, 2.0)]):
+            if isinstance(a, i.Send):
+                sent[a.server <= 36] += 1
+                gateway.handle(100.0, [i.Outcome(n, 0, a.server, i.End.OK, 0.1, True)])
+    warm, cold = sent[0] / 24, sent[1] / 36
+    assert 0.28 * warm < cold < 0.45 * warm
+
+
 def work_done(servers: int, idle: int, monkeypatch: pytest.MonkeyPatch) -> int:
     """Servers looked at and customers brought up to date for 200 requests and their housekeeping."""
     rig = Rig(settings(plans=(i.Plan(rate=50.0, burst=100.0),)), servers=servers)
