Refuse fewer inside their quotas: ceilings by totals, exact debts, calmer shedding

Lines at fault, brain.py: verdict (need against c.room, a quarter of 16 units, at the start an eighth of the slack of 2, where an order has 2); verdict (c.denied set by verdicts of chance and overload too); asks (0.03 a second and an answer, with 3 answers a second); on_request (charge = cost / ask, up to 20 units on a quota of 4, which shut out others); LATE = 0.08, kept up by the 4 to 8% that cold nodes end late. Ruled out: a counter that was down (answers in 17 ms at the median after its return) and nodes at their limit (latencies were the usual ones).

Change: what a total lets in needs no part of a ceiling, unless totals were seen to be forgotten lately; the rest leaves room for it. Only totals deny. 0.4 a second. Debts ride on the account's next call.

--- a/starlinggap/brain.py
+++ b/starlinggap/brain.py
@@ -17,10 +17,10 @@
 # --- constants: each is a share of something the settings give, or a plain habit of the field -------------
 OWN_TIMEOUT = 0.6  # of the counter's time-out: a healthy answer takes a tenth of it, and a client waits
 QUICK = 0.3  # of the counter's time-out: answers sooner, or in twice the least time, say it has room for more
-ASK_UP, ASK_CUT = 0.03, 0.7  # what asks grows by a quick answer, and a second; is left after one missed
+ASK_UP, ASK_CUT = 0.03, 0.7  # what asks grows by a quick answer; is left after one missed
+ASK_RISE = 0.4  # what it grows a second while the newest was quick: one gateway of many has few answers
 ASK_SLOW = 0.95  # is left after one slow: its line grows, and calls that nobody waits for would fill it
 ASK_AGAIN = 0.25  # the least that asks after a quick answer: a counter that is back is not left unused
-ASK_STANDS = 0.05  # the least share for which those that ask stand for the others too
 TRIAL = 3.0  # s, half to one and a half by chance: a counter that is not asked is read so often
 UNKNOWN = 0.5  # of its quota: what a customer not met yet is thought to use; most use less, few use all
 TTL_WINDOWS = 3.0  # a name must outlive its own window and the next, with a window to spare
@@ -41,7 +41,7 @@
 QUEUE = 0.4  # of the aim: more is not sent to a server than it does, one after the other, in that time
 SHED_FROM, SHED_ALL = 0.3, 0.8  # of the aim: expected times between these shed more and more of the work
 PATIENT = 4.0  # times the usual time: an attempt given up sooner may just be slow for its client
-LATE = 0.08  # of what ended lately was late or lost: what is shed grows by what is over it, falls by under
+LATE = 0.25  # of what ended lately was late or lost: what is shed grows by what is over it, falls by under
 LATE_UP, LATE_DOWN = 0.5, 3.0  # times that, a second: what was sent before the shedding still ends late
 PACE = 3.0  # s over which work done is averaged: long for one gateway's traffic, short beside a trouble
 CALM = 1.5  # outcomes, at half the edge of shedding, that one gateway's few outcomes are mixed with
@@ -135,8 +135,8 @@
     """A request that still lacks its final answer, or whose attempts are still out."""
 
     __slots__ = ("id", "request", "cls", "customer", "deadline", "held_until", "attempts", "live", "asking",
-                 "risky_at", "risky", "ran", "final", "beyond", "sent", "streaming", "cost", "charge",
-                 "added", "aim", "cleared", "shed")  # fmt: skip
+                 "risky_at", "risky", "ran", "final", "beyond", "sent", "streaming", "cost",
+                 "added", "aim", "cleared", "shed", "told")  # fmt: skip
 
     def __init__(self, request: i.Request, cls: i.RequestClass, customer: Customer, now: float) -> None:
         self.id, self.request, self.cls, self.customer = request.request, request, cls, customer
@@ -148,9 +148,9 @@
         self.live: dict[int, int] = {}  # attempts out, and where
         self.risky_at, self.risky = math.inf, -1  # first attempt that may have run: its time and server
         self.asking, self.shed = True, 0.0
-        self.cleared = self.final = self.beyond = self.sent = self.streaming = self.ran = False
+        self.cleared = self.told = self.final = self.beyond = self.sent = self.streaming = self.ran = False
         self.added: bool | None = False  # its units on the counter; None: the call is still out
-        self.cost = self.charge = request.units if 0 < request.units < math.inf else 1.0
+        self.cost = request.units if 0 < request.units < math.inf else 1.0
 
 
 class Call:
@@ -194,7 +194,7 @@
         self.ask = 1.0  # share of requests that ask the counter; under 1 it is pressed
         # As of when, whether the newest answer was quick, and the least time of an answer lately.
         self.ask_at, self.quick, self.best = 0.0, True, settings.counter_timeout
-        self.trial_at = self.cut_at = -math.inf
+        self.trial_at = self.cut_at = self.forgot_at = -math.inf
         self.owing: dict[int, Customer] = {}
         self.let_in = [1.0, 1.0]  # share that totals let in of all customers' first tries, and of repeats
         self.usual = [c.aim / 5 for c in settings.classes]  # usual time of a class; learned
@@ -293,11 +293,9 @@
             # Guards a pressed counter against what overload sheds and who repeats till let in.
             self.verdict(work, False)
         elif s.counter and patience > 0 and self.asks():
-            # Those that ask a pressed counter add for the others too: totals stay what all were charged.
-            # Where a refusal is likely it is only read first, which saves a refund.
+            # Where a refusal is likely a pressed counter is only read first, which saves a refund.
             unlikely = self.ask < 1 and self.chance(work) < 0.5
-            work.charge = work.cost / max(self.ask, ASK_STANDS)
-            self.timer(patience, self.post(c, 0.0 if unlikely else work.charge, work))
+            self.timer(patience, self.post(c, 0.0 if unlikely else work.cost, work))
         else:
             self.decide_alone(work)
             if s.counter and self.now >= self.trial_at:
@@ -306,7 +304,7 @@
     def asks(self) -> bool:
         """Whether this request asks: by chance, as large a share as this gateway finds answered in time."""
         if self.quick:
-            self.ask = min(1.0, self.ask + ASK_UP * (self.now - self.ask_at))
+            self.ask = min(1.0, self.ask + ASK_RISE * (self.now - self.ask_at))
         self.ask_at = self.now
         return self.ask >= 1 or self.rng.random() < self.ask
 
@@ -372,7 +370,7 @@
             waiting, c.waiting = c.waiting, []
             for waiter in waiting:
                 if waiter.asking:
-                    self.judge(waiter, c.total - waiter.charge) if c.prev_known else self.decide_alone(waiter)
+                    self.judge(waiter, c.total - waiter.cost) if c.prev_known else self.decide_alone(waiter)
         elif work and work.asking and call.decided is None:
             work.added = counted and call.amount > 0
             if math.isnan(total):
@@ -387,6 +385,8 @@
         added = call.amount + call.ride
         if call.window == c.window:
             total += c.lost
+            if total < c.own + added - self.s.most_units:  # not even what was added from here
+                self.forgot_at = self.now
             if total < c.own + added - jump / 4 or total < c.total + added - jump:
                 # The counter forgot: believe the last good total and what was added since. Holds against
                 # any loss of counts; if a refund this large were real, room is missed for one window.
@@ -407,12 +407,13 @@
         c = work.customer
         left = max(0.0, c.window + 1 - self.now / c.length)
         prev = c.prev
+        sure = self.ask >= 1 or c.plan.ceiling_rate > 0  # a ceiling rests on what totals let in
         if not c.prev_known:  # a pressed counter is not read for it: use is taken to be steady
-            prev = c.likely_prev(before, left) if self.ask < 1 else max(c.limit, c.prev)
+            prev = max(c.limit, c.prev) if sure else c.likely_prev(before, left)
         used = max(0.0, estimate(prev, before, left))
         if c.stale or c.deficit > used:
             c.deficit, c.stale = used, False
-        if not c.prev_known and self.ask >= 1 and not fits(used, c.limit, work.cost):
+        if not c.prev_known and sure and not fits(used, c.limit, work.cost):
             # Only a read of the last window can tell; while the cost fits whatever it held, none is needed.
             c.waiting.append(work)
             if not c.reading:
@@ -448,17 +449,23 @@
         if plan.open and c.open >= math.ceil(plan.open / c.spread):
             inside = False
         work.asking, work.beyond = False, not inside
-        if not inside and self.now >= c.denied:
+        if not inside and asked:  # chance and overload say nothing of the customer
             c.denied = self.now + FLUSH * c.length
-        need = work.cost if inside else work.cost + BEYOND_ROOM * plan.ceiling_burst / c.spread
+        # What totals let in stays within the quota over all gateways, and so under the ceiling: it needs no
+        # part of that, unless the counter forgot lately. Guards against refusing inside a quota where a part
+        # is a few requests' worth. Parts are for what is let in without, and leave room for the rest.
+        work.told = asked and inside and self.now - self.forgot_at > TTL_WINDOWS * c.length
+        need = work.cost + (min(1.0, self.ask) * c.limit / c.spread if inside
+                            else BEYOND_ROOM * plan.ceiling_burst / c.spread)  # fmt: skip
         if not inside:
             self.take_back(work)
         else:
             c.deficit += work.cost
-            if work.added is False and (asked or self.ask >= 1):
+            if work.added is False:  # what was let in without a call rides on the customer's next one
                 work.added = True
-                self.owe(c, work.charge, now=asked)
-        if (inside or plan.over_worth > plan.over_cost) and (not plan.ceiling_rate or c.room >= need):
+                self.owe(c, work.cost, now=asked)
+        ceiling = plan.ceiling_rate > 0 and not work.told
+        if (inside or plan.over_worth > plan.over_cost) and (not ceiling or c.room >= need):
             self.dispatch(work)
         else:
             if inside:
@@ -470,7 +477,7 @@
         """The negative add of a refusal; a call still out is settled when its answer comes."""
         if work.added:
             work.added = False
-            self.owe(work.customer, -work.charge, now=True)
+            self.owe(work.customer, -work.cost, now=True)
 
     def advice(self, work: Work) -> float:
         """When the told store holds the cost; the sooner the less is shed, and not all together."""
@@ -590,7 +597,7 @@
             self.give_up(work)
             return
         server, plan = self.servers[key], work.customer.plan
-        if not work.sent and plan.ceiling_rate > 0:
+        if not work.sent and plan.ceiling_rate > 0 and not work.told:
             work.customer.room -= work.cost
         work.sent = True
         work.live[n := len(work.attempts)] = key
