Spread first questions to a node list that must be asked over a turn of all ingresses

The node list tells 6 to 12 ingresses a second and works on calls that have been given up: 40 first questions at once and 20 to 27 repeats every 2.5 s kept it behind for good, and after the restart of 28 ingresses most sent to nodes that were gone (375 of 1,069 attempts failed to connect in 3 s). Lines at fault: memory/reducer.py start (all ask at once) and _list_turned_away (0.4 s after the first refusal).

Change: the first question comes by chance within 100 ms an ingress there is, 4 s for 40; a refusal waits for half to one and a half such turns, doubling once. Nothing changes where the list is told anyway.

--- a/opalgauge/lifecycle/config.py
+++ b/opalgauge/lifecycle/config.py
@@ -22,6 +22,7 @@
 # A watch waits so long. Where the list is told anyway, a watch that has died in silence is known by this
 # alone. Where it must be asked for, a question that is given up has taken a turn from all ingresses.
 LIST_TOLD, LIST_ASKED = timedelta(seconds=1), timedelta(seconds=20)
+LIST_TURN = timedelta(milliseconds=100)  # for each ingress: the node list was seen to tell 6 to 12 a second
 LIST_LATE = timedelta(milliseconds=300)
 SPARE_SOCKETS = 48  # listener, node list, quota counter, standard streams and the loop's own
 
@@ -96,6 +97,7 @@
             most_orders=max(16, min(int(ceilings.get("max_open", 20000)), most_clients)),
             most_clients=most_clients,
             crowd=most_clients // CROWD,
+            list_turn=LIST_TURN * settings.gateways if settings.list_on_request else timedelta(0),
             list_wait=LIST_ASKED if settings.list_on_request else LIST_TOLD,
             list_patience=(LIST_ASKED if settings.list_on_request else LIST_TOLD) + LIST_LATE,
         )
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -77,15 +77,15 @@
         """The first step: the list as it was last known, and the watch."""
         self.now = now
         self._take_list(i.ListKind.CACHED, self.house.known)
-        self._ask_list()
+        # Guards a node list that must be asked against a herd of ingresses that start at once.
+        self._at(now + self.house.list_turn * self.chance.random(), self._ask_list)
+        self._run_due()
         return self._finish()
 
     def step(self, event: ev.Event, now: datetime) -> list[fx.Effect]:
         """What to do about `event`, which happened at `now`."""
         self.now = max(now, self.now)
-        while self.due and self.due[0][0] <= self.now:
-            what, about = heapq.heappop(self.due)[2:]
-            what(*about)
+        self._run_due()
         self.on[type(event)](event)
         return self._finish()
 
@@ -105,6 +105,11 @@
         out, self.out = self.out, []
         return out
 
+    def _run_due(self) -> None:
+        while self.due and self.due[0][0] <= self.now:
+            what, about = heapq.heappop(self.due)[2:]
+            what(*about)
+
     # --- time ----------------------------------------------------------------------------------------------
     def _at(self, when: datetime, what: Callable[..., None], *about: Any) -> None:
         self.dues += 1
@@ -653,7 +658,9 @@
         if books.list_heard:
             books.list_heard = False
             self.out.append(fx.Log("node list: has no turn for us; asking again, later each time"))
-        pause = min(house.list_longest_pause, house.list_pause * 4 * 2 ** min(books.list_refusals, 10))
+        # What all of them can be given in turn depends on how many they are; a call given up still takes one.
+        pause = max(house.list_turn, house.list_pause * 4) * 2 ** min(books.list_refusals, 10)
+        pause = min(max(house.list_turn * 2, house.list_longest_pause), pause)
         books.list_refusals += 1
         self._close_line(line)
         self._at(self.now + pause * (0.5 + self.chance.random()), self._ask_list)
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -43,7 +43,8 @@
     list_wait: timedelta = timedelta(seconds=1)
     list_patience: timedelta = timedelta(milliseconds=1300)
     list_pause: timedelta = timedelta(milliseconds=100)  # a watch lasts if it is asked again within 200 ms
-    list_longest_pause: timedelta = timedelta(seconds=4)  # between questions that are turned away
+    list_longest_pause: timedelta = timedelta(seconds=8)  # between questions that are turned away
+    list_turn: timedelta = timedelta(0)  # in which all ingresses can be given a list that must be asked for
     answer_margin: timedelta = timedelta(milliseconds=25)  # the decisions are told so much less time
     wake_slack: timedelta = timedelta(milliseconds=3)  # the wake-up comes so late at most
     guard_margin: timedelta = timedelta(milliseconds=10)  # and the reducer answers by itself so early
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -195,6 +195,26 @@
     assert len({desk.now for desk in desks}) > 4
 
 
+def test_forty_ingresses_that_start_at_once_ask_the_node_list_one_after_another() -> None:
+    # A herd that asked at once was turned away, and what it had asked for kept the others waiting for a day.
+    desks = [Desk(seed=n, list_turn=timedelta(seconds=4)) for n in range(40)]
+    first = []
+    for desk in desks:
+        while not any(isinstance(e, fx.AskNodeList) for e in desk.out):
+            desk.pass_time(timedelta(milliseconds=50))
+            desk.bring_up()
+        first.append(desk.now - START)
+    assert max(first) <= timedelta(seconds=4.1)
+    seconds = [at // timedelta(seconds=1) for at in first]
+    assert max(seconds.count(n) for n in range(4)) <= 16
+    desk = desks[0]
+    desk.step(ev.NodeListAnswered(desk.list_question().line, False, turned_away=True))
+    asked = len([e for e in desk.out if isinstance(e, fx.AskNodeList)])
+    desk.pass_time(timedelta(milliseconds=1900))
+    desk.bring_up()
+    assert len([e for e in desk.out if isinstance(e, fx.AskNodeList)]) == asked, "half a turn at least"
+
+
 def test_a_silent_node_list_is_asked_anew_and_serving_goes_on() -> None:
     desk = Desk()
     line = desk.list_question().line
