--- a/opalgauge/__main__.py
+++ b/opalgauge/__main__.py
@@ -2,10 +2,12 @@
 
 import sys
 
+from opalgauge.lifecycle.imports import lean
 from opalgauge.lifecycle.native import prefer
 
 if __name__ == "__main__":
     prefer()
-    from opalgauge.lifecycle.service import main
+    with lean():
+        from opalgauge.lifecycle.service import main
 
     sys.exit(main())
--- a/opalgauge/cores/__main__.py
+++ b/opalgauge/cores/__main__.py
@@ -2,11 +2,13 @@
 
 import signal
 
+from opalgauge.lifecycle.imports import lean
 from opalgauge.lifecycle.native import prefer
 
 if __name__ == "__main__":
     prefer()
-    from opalgauge.cores.worker import main
+    with lean():
+        from opalgauge.cores.worker import main
 
     # The guardian alone stops a worker: a terminal's interrupt goes to it as well.
     for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
--- a/starlinggap/brain.py
+++ b/starlinggap/brain.py
@@ -18,7 +18,7 @@
 OWN_TIMEOUT = 0.6  # of the counter's time-out: a healthy answer takes a tenth of it, and a client waits
 QUICK = 0.3  # of the counter's time-out: answers sooner, or in twice the least time, say it has room for more
 ASK_UP, ASK_CUT = 0.03, 0.7  # what asks grows by a quick answer; is left after one missed
-ASK_RISE = 0.4  # what it grows a second while the newest was quick: one gateway of many has few answers
+ASK_RISE = 0.2  # what it grows a second while the newest was quick: one gateway of many has few answers
 ASK_SLOW = 0.95  # is left after one slow: its line grows, and calls that nobody waits for would fill it
 ASK_AGAIN = 0.25  # the least that asks after a quick answer: a counter that is back is not left unused
 TRIAL = 3.0  # s, half to one and a half by chance: a counter that is not asked is read so often
@@ -33,11 +33,13 @@
 DRAWN = 8  # servers drawn at most to find two that are fit
 FORGET = 10.0  # s in which what was seen of a server's speed fades; three times it for a customer's verdicts
 ILL = 0.5  # share of a class's late outcomes at a server that failed: above it the server is ejected for it
+ILL_RARE = 0.9  # and of one at a server that is met once or less in FORGET: one is enough there
 ILL_STEP = 0.3  # weight of an error there: three in a row eject, one or two are chance
 EJECT_FIRST, EJECT_MOST = 0.5, 8.0  # s out after the first ejection, and at most: it doubles
 STALE = 0.1  # share lost on kept connections, over twice that on new ones, above which none is used again
 RETRY_SHARE = 0.1  # further attempts for each request: more would feed an overload
 RETRY_DEPTH = 10.0  # further attempts that may be saved up
+FRESH = 1.5  # times the wait where a connection must be opened: it costs the server, and so all gateways
 QUEUE = 0.4  # of the aim: more is not sent to a server than it does, one after the other, in that time
 SHED_FROM, SHED_ALL = 0.3, 0.8  # of the aim: expected times between these shed more and more of the work
 PATIENT = 4.0  # times the usual time: an attempt given up sooner may just be slow for its client
@@ -522,6 +524,8 @@
             oldest = next(iter(server.out.values()))
             slow = max(slow, (self.now - oldest) / (2 * self.usual[work.request.cls % len(self.usual)]))
         cross = self.s.cross_zone_price if server.entry.zone != self.s.zone else 0.0
+        if self.now - server.kept_at >= self.s.keeps_open:
+            slow *= FRESH
         size = server.entry.weight if server.entry.weight > 0 else 1.0
         return slow * (1 + cross) * (1 + len(server.out) + server.queue) / size
 
@@ -743,14 +747,18 @@
                 server.ill[cls] = [min(ILL, server.ill[cls][0] * (1 - ILL_STEP)), 0.0, EJECT_FIRST]
         elif event.end in (End.TIMEOUT, End.FULL):
             server.ratio = min(20.0, server.ratio * 1.2)
+        # Guards against learning nothing where each server is met once in many seconds, as by one of forty
+        # gateways: what is met less often within FORGET is believed sooner, and for longer.
+        met = max(1.0, self.answered / PACE * FORGET / max(1, len(self.ready)))
+        step, first = max(ILL_STEP, ILL_RARE / met), max(EJECT_FIRST, EJECT_MOST / met)
         # Judged by class: guards against a server that fails, or swallows, one class and serves the others,
         # and by being quick to fail draws ever more of it. A failed connect speaks for all classes.
-        weight = {End.ERROR: ILL_STEP, End.RESET: ILL_STEP, End.TIMEOUT: RECENT}.get(event.end, 0.0)
+        weight = {End.ERROR: step, End.RESET: step, End.TIMEOUT: RECENT}.get(event.end, 0.0)
         for n in range(len(self.usual)) if event.end is End.CONNECT_FAILED else [cls] if weight else []:
-            ill = server.ill.setdefault(n, [0.0, 0.0, EJECT_FIRST])
+            ill = server.ill.setdefault(n, [0.0, 0.0, first])
             ill[0] += (1 - ill[0]) * (weight or 1.0)
             if ill[0] > ILL:
-                ill[1:] = [self.now + ill[2], min(EJECT_MOST, 2 * ill[2])]
+                ill[1:] = [self.now + max(first, ill[2]), min(EJECT_MOST, 2 * ill[2])]
 
     # --- final answers and guards --------------------------------------------------------------------------
     def close(self, work: Work) -> None:
--- a/tests/test_cores_scenes.py
+++ b/tests/test_cores_scenes.py
@@ -289,7 +289,7 @@
                     )
                     assert status in (200, 429, 503)
             spent = 3 * len(seen.requests)
-            # The ceiling, its slack, and what its rate gives meanwhile: what totals let in needs no part of it.
+            # The ceiling, its slack and what its rate gives meanwhile: what totals let in needs no part.
             assert spent <= 60 + 4 + 30 * (loop.time() - began) + 1e-6
             assert spent >= 15
             await asyncio.sleep(0.3)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -350,6 +350,32 @@
     assert rig.calls - before <= 2 * verdicts.count("sent")
 
 
+@pytest.mark.parametrize(("servers", "spared"), [(60, True), (4, False)])
+def test_an_error_is_believed_at_once_where_a_server_is_met_rarely(servers: int, spared: bool) -> None:
+    # One of forty gateways meets each of 60 servers once in seconds: three errors in a row never came about.
+    rig = Rig(settings(counter=False, plans=(i.Plan(),)), servers=servers)
+    for n in range(200):
+        rig.at(n * 0.2)
+        rig.ask(customer=n)
+        rig.finish(took=0.02)
+    rig.ask()
+    bad = rig.sends[-1].server
+    rig.finish(i.End.ERROR)
+    rig.finish()
+    ill = rig.gateway.servers[bad].ill[0]
+    assert (ill[1] > rig.now + 1.0) is spared
+
+
+def test_a_kept_connection_is_preferred_to_opening_one() -> None:
+    # Forty gateways with little traffic opened one for every second order; each costs a server work.
+    rig = Rig(settings(counter=False, plans=(i.Plan(),)), servers=2)
+    rig.gateway.servers[2].kept_at = rig.now
+    for n in range(5):
+        rig.ask(customer=n)
+        rig.finish()
+        assert rig.sends[-1].server == 2
+
+
 def test_a_gateway_with_little_traffic_asks_a_calm_counter_again_within_seconds() -> None:
     # One of forty has a few answers a second: growing by answers alone, what asks took ten seconds to return.
     rig = Rig(settings())
