Let who sheds doubt what it saw as it ages, and ask a pressed counter by stake

Lines at fault: brain.py spare and fade, with CALM = 1.5 the only doubt. Ruled out: slow nodes (an answer in 0.17 s of an aim of 0.77) and a counter that is out (asked for 0.8 of the orders by then).

--- a/starlinggap/brain.py
+++ b/starlinggap/brain.py
@@ -16,11 +16,13 @@
 
 # --- constants: each is a share of something the settings give, or a plain habit of the field -------------
 OWN_TIMEOUT = 0.6  # of the counter's time-out: a healthy answer takes a tenth of it, and a client waits
+WHOLE, WORTH_WAITING = 0.95, 0.035  # of it, and of the aim: so long a wait for a crowded one does no harm
 QUICK = 0.3  # of the counter's time-out: answers sooner, or in twice the least time, say it has room for more
 ASK_UP, ASK_CUT = 0.03, 0.7  # what asks grows by a quick answer; is left after one missed
 ASK_RISE = 0.2  # what it grows a second while the newest was quick: one gateway of many has few answers
 ASK_SLOW = 0.95  # is left after one slow: its line grows, and calls that nobody waits for would fill it
 ASK_AGAIN = 0.25  # the least that asks after a quick answer: a counter that is back is not left unused
+STAKE_LEAST = 0.3  # of that share is asked for by what is worth next to nothing
 TRIAL = 3.0  # s, half to one and a half by chance: a counter that is not asked is read so often
 UNKNOWN = 0.5  # of its quota: what a customer not met yet is thought to use; most use less, few use all
 TTL_WINDOWS = 3.0  # a name must outlive its own window and the next, with a window to spare
@@ -46,6 +48,7 @@
 LATE = 0.25  # of what ended lately was late or lost: what is shed grows by what is over it, falls by under
 LATE_UP, LATE_DOWN = 0.5, 3.0  # times that, a second: what was sent before the shedding still ends late
 PACE = 3.0  # s over which work done is averaged: long for one gateway's traffic, short beside a trouble
+UNTRIED = 0.4  # of a calm outcome: what is shed counts as, so that what was seen is doubted as it ages
 CALM = 1.5  # outcomes, at half the edge of shedding, that one gateway's few outcomes are mixed with
 RANKED = 200  # requests remembered to tell what worth is low
 KEPT = 15.0  # s for which a customer not seen is remembered at least: many come only once
@@ -192,7 +195,7 @@
         self.ready: list[int] = []  # in the order of their ids; kept when the list changes
         self.calls: dict[int, deque[Call]] = {}
         self.timers: dict[int, Call | None] = {}  # None: housekeeping
-        self.token = 0
+        self.token, self.stake = 0, 1.0
         self.ask = 1.0  # share of requests that ask the counter; under 1 it is pressed
         # As of when, whether the newest answer was quick, and the least time of an answer lately.
         self.ask_at, self.quick, self.best = 0.0, True, settings.counter_timeout
@@ -288,13 +291,14 @@
         self.retries = min(RETRY_DEPTH, self.retries + RETRY_SHARE)
         # One wait for all that the counter is asked, and never most of a client's patience: guards against
         # an impatient client's try ending unanswered while the counter is slow.
-        patience = min(s.counter_timeout * OWN_TIMEOUT, request.budget / 2 - s.tick)
+        wait = min(s.counter_timeout * WHOLE, work.aim * WORTH_WAITING)
+        patience = min(max(s.counter_timeout * OWN_TIMEOUT, wait), request.budget / 2 - s.tick)
         if not c.length:
             self.verdict(work, True)
         elif self.ask < 1 and (self.now < c.denied or self.spare(work)):
             # Guards a pressed counter against what overload sheds and who repeats till let in.
             self.verdict(work, False)
-        elif s.counter and patience > 0 and self.asks():
+        elif s.counter and patience > 0 and self.asks(work):
             # Where a refusal is likely a pressed counter is only read first, which saves a refund.
             unlikely = self.ask < 1 and self.chance(work) < 0.5
             self.timer(patience, self.post(c, 0.0 if unlikely else work.cost, work))
@@ -303,12 +307,16 @@
             if s.counter and self.now >= self.trial_at:
                 self.post(c, 0.0, None)
 
-    def asks(self) -> bool:
-        """Whether this request asks: by chance, as large a share as this gateway finds answered in time."""
+    def asks(self, work: Work) -> bool:
+        """Whether this request asks: by chance, as large a share as this gateway finds answered in time, and
+        among them sooner those where a wrong verdict costs most."""
+        stake = work.cls.worth * work.customer.plan.price * work.cost
+        self.stake += RECENT / 2 * (stake - self.stake)
         if self.quick:
             self.ask = min(1.0, self.ask + ASK_RISE * (self.now - self.ask_at))
         self.ask_at = self.now
-        return self.ask >= 1 or self.rng.random() < self.ask
+        likely = STAKE_LEAST + (1 - STAKE_LEAST) * stake / max(self.stake, 1e-9)
+        return self.ask >= 1 or self.rng.random() < self.ask * likely
 
     def post(self, c: Customer, amount: float, work: Work | None, back: int = 0) -> Call:
         """Calls the counter for the customer's window, `back` windows ago; what is owed rides along."""
@@ -643,6 +651,9 @@
             below = sum(w < mine for w in self.ranks) + self.rng.random() * sum(w == mine for w in self.ranks)
             shed -= below / len(self.ranks)
         work.cleared = shed <= 0
+        if shed > 0:
+            # Guards against shedding on for what was seen long ago: who sheds most sees least that is new.
+            self.answered, self.took = self.answered + UNTRIED, self.took + UNTRIED * SHED_FROM / 2
         return shed > 0
 
     def crowded_out(self) -> float:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -376,6 +376,32 @@
         assert rig.sends[-1].server == 2
 
 
+def test_who_sheds_all_finds_out_that_the_load_is_over() -> None:
+    # With nothing sent on nothing new is learnt: late answers of a burst kept one of forty gateways shedding
+    # nearly all for ten seconds after the servers were idle.
+    rig = Rig(settings(counter=False, plans=(i.Plan(),)))
+    gateway = rig.gateway
+    gateway.shed, gateway.answered, gateway.took, gateway.late, gateway.missed = 0.95, 16.0, 14.0, 8.0, 6.0
+    gateway.pace, gateway.unanswered, gateway.ended_at = 0.9, 0.3, rig.now
+    for n in range(56):  # 8 a second for 7 s
+        rig.at(n / 8)
+        if rig.ask(customer=n) == "sent":
+            rig.end_in(0.16)
+    assert gateway.shed < 0.4
+
+
+def test_a_pressed_counter_is_asked_first_for_what_is_worth_most() -> None:
+    plans = (i.Plan(rate=100.0, burst=1000.0, price=0.5), i.Plan(rate=100.0, burst=1000.0, price=1.6))
+    rig = Rig(settings(plans=plans))
+    asked = [0, 0]
+    for n in range(600):
+        rig.gateway.ask, rig.gateway.quick, before = 0.4, False, rig.calls
+        rig.ask(customer=n % 2, plan=n % 2, units=1.0 + n % 2)
+        rig.finish()
+        asked[n % 2] += rig.calls > before
+    assert asked[1] > 1.5 * asked[0] > 0
+
+
 def test_a_gateway_with_little_traffic_asks_a_calm_counter_again_within_seconds() -> None:
     # One of forty has a few answers a second: growing by answers alone, what asks took ten seconds to return.
     rig = Rig(settings())
