--- a/opalgauge/cli/serve.py
+++ b/opalgauge/cli/serve.py
@@ -11,10 +11,12 @@
 @click.option("--settings", type=click.Path(dir_okay=False), help="Our file; without it, BALANCER_CONFIG.")
 def command(settings: str | None) -> None:
     """Serve until SIGTERM; SIGHUP reads the settings again. Exit status 2: the start cannot work."""
+    from opalgauge.lifecycle.imports import lean
     from opalgauge.lifecycle.native import prefer
 
     prefer()
-    from opalgauge.lifecycle.service import main
-    from opalgauge.lifecycle.sources import FileSource
+    with lean():
+        from opalgauge.lifecycle.service import main
+        from opalgauge.lifecycle.sources import FileSource
 
     sys.exit(main(FileSource(settings) if settings else None))
--- a/opalgauge/lifecycle/config.py
+++ b/opalgauge/lifecycle/config.py
@@ -19,11 +19,9 @@
 CROWD = 3  # part of the clients' connections
 DIAL_SHARE = 0.4  # of the time allowed for connecting: where a connection comes up, it takes a few ms
 IDLE_SHARE = 0.6  # of the time after which a stock node closes an idle connection
-# A watch waits so long. Where the list is told anyway, a watch that has died in silence is known by this
-# alone. Where it must be asked for, a question that is given up has taken a turn from all ingresses.
-LIST_TOLD, LIST_ASKED = timedelta(seconds=1), timedelta(seconds=20)
+# Where the list must be asked for, a question that is given up has taken a turn from all ingresses.
+LIST_ASKED = timedelta(seconds=20)  # a watch waits so long there
 LIST_TURN = timedelta(milliseconds=100)  # for each ingress: the node list was seen to tell 6 to 12 a second
-LIST_LATE = timedelta(milliseconds=300)
 SPARE_SOCKETS = 48  # listener, node list, quota counter, standard streams and the loop's own
 
 
@@ -97,10 +95,9 @@
             most_orders=max(16, min(int(ceilings.get("max_open", 20000)), most_clients)),
             most_clients=most_clients,
             crowd=most_clients // CROWD,
-            list_turn=LIST_TURN * settings.gateways if settings.list_on_request else timedelta(0),
-            list_wait=LIST_ASKED if settings.list_on_request else LIST_TOLD,
-            list_patience=(LIST_ASKED if settings.list_on_request else LIST_TOLD) + LIST_LATE,
         )
+        if settings.list_on_request:
+            house = replace(house, list_wait=LIST_ASKED, list_turn=LIST_TURN * settings.gateways)
         trade = Trade(
             [(str(c["name"]), c.get("effect") == "retryable") for c in told_settings["classes"]],
             [str(t["name"]) for t in told_settings["tiers_of_service"]],
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -105,16 +105,16 @@
         out, self.out = self.out, []
         return out
 
-    def _run_due(self) -> None:
-        while self.due and self.due[0][0] <= self.now:
-            what, about = heapq.heappop(self.due)[2:]
-            what(*about)
-
     # --- time ----------------------------------------------------------------------------------------------
     def _at(self, when: datetime, what: Callable[..., None], *about: Any) -> None:
         self.dues += 1
         heapq.heappush(self.due, (when, self.dues, what, about))
 
+    def _run_due(self) -> None:
+        while self.due and self.due[0][0] <= self.now:
+            what, about = heapq.heappop(self.due)[2:]
+            what(*about)
+
     def _woken(self, _: ev.Woken) -> None:
         """What is due has been done, as at every event."""
         self.wake = None
@@ -598,7 +598,7 @@
     def _write_list_question(self, line: Line) -> None:
         self.out.append(fx.AskNodeList(line.number, self.books.list_version, self.house.list_wait))
         line.since = self.now
-        self._at(self.now + self.house.list_patience, self._list_silent, line, self.now)
+        self._at(self.now + self.house.list_wait + self.house.list_late, self._list_silent, line, self.now)
 
     def _ask_list_again(self, line: Line) -> None:
         if line.number in self.books.lines and line.since is None:
@@ -610,10 +610,14 @@
             self._close_line(line)
             self._list_line_lost()
 
-    def _list_line_lost(self) -> None:
+    def _list_unheard(self, what: str) -> None:
+        """Told in the log once, until the agent answers again."""
         if self.books.list_heard:
             self.books.list_heard = False
-            self.out.append(fx.Log("node list: agent not answering; serving on with the list as last told"))
+            self.out.append(fx.Log(f"node list: {what}"))
+
+    def _list_line_lost(self) -> None:
+        self._list_unheard("agent not answering; serving on with the list as last told")
         self._at(self.now + self.house.list_pause, self._ask_list)
 
     def _node_list_answered(self, event: ev.NodeListAnswered) -> None:
@@ -626,9 +630,7 @@
             return
         if event.nodes is None:
             # Guards against an answer that cannot be read: the whole list is asked for, after a pause.
-            if self.books.list_heard:
-                self.books.list_heard = False
-                self.out.append(fx.Log("node list: unreadable answer; asking for the whole list"))
+            self._list_unheard("unreadable answer; asking for the whole list")
             self.books.list_version = None
             self._close_line(line)
             self._at(self.now + self.house.list_pause, self._ask_list)
@@ -655,9 +657,7 @@
         a fleet of 40 for the rest of a day, each for the whole list, 100 ms after the one before.
         """
         books, house = self.books, self.house
-        if books.list_heard:
-            books.list_heard = False
-            self.out.append(fx.Log("node list: has no turn for us; asking again, later each time"))
+        self._list_unheard("has no turn for us; asking again, later each time")
         # What all of them can be given in turn depends on how many they are; a call given up still takes one.
         pause = max(house.list_turn, house.list_pause * 4) * 2 ** min(books.list_refusals, 10)
         pause = min(max(house.list_turn * 2, house.list_longest_pause), pause)
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -41,7 +41,7 @@
     counter_doubt: timedelta = timedelta(milliseconds=200)  # one that is silent while others answer, so long
     # A watch that has died in silence is known by this alone: an agent that lives answers within the wait.
     list_wait: timedelta = timedelta(seconds=1)
-    list_patience: timedelta = timedelta(milliseconds=1300)
+    list_late: timedelta = timedelta(milliseconds=300)  # and it is given up so long after that
     list_pause: timedelta = timedelta(milliseconds=100)  # a watch lasts if it is asked again within 200 ms
     list_longest_pause: timedelta = timedelta(seconds=8)  # between questions that are turned away
     list_turn: timedelta = timedelta(0)  # in which all ingresses can be given a list that must be asked for
--- a/starlinggap/brain.py
+++ b/starlinggap/brain.py
@@ -141,7 +141,7 @@
 
     __slots__ = ("id", "request", "cls", "customer", "deadline", "held_until", "attempts", "live", "asking",
                  "risky_at", "risky", "ran", "final", "beyond", "sent", "streaming", "cost",
-                 "added", "aim", "cleared", "shed", "told")  # fmt: skip
+                 "added", "aim", "cleared", "shed", "ceiled")  # fmt: skip
 
     def __init__(self, request: i.Request, cls: i.RequestClass, customer: Customer, now: float) -> None:
         self.id, self.request, self.cls, self.customer = request.request, request, cls, customer
@@ -153,7 +153,7 @@
         self.live: dict[int, int] = {}  # attempts out, and where
         self.risky_at, self.risky = math.inf, -1  # first attempt that may have run: its time and server
         self.asking, self.shed = True, 0.0
-        self.cleared = self.told = self.final = self.beyond = self.sent = self.streaming = self.ran = False
+        self.cleared = self.ceiled = self.final = self.beyond = self.sent = self.streaming = self.ran = False
         self.added: bool | None = False  # its units on the counter; None: the call is still out
         self.cost = request.units if 0 < request.units < math.inf else 1.0
 
@@ -195,7 +195,8 @@
         self.ready: list[int] = []  # in the order of their ids; kept when the list changes
         self.calls: dict[int, deque[Call]] = {}
         self.timers: dict[int, Call | None] = {}  # None: housekeeping
-        self.token, self.stake = 0, 1.0
+        self.token = 0
+        self.stake = 1.0  # worth and units of a request, lately
         self.ask = 1.0  # share of requests that ask the counter; under 1 it is pressed
         # As of when, whether the newest answer was quick, and the least time of an answer lately.
         self.ask_at, self.quick, self.best = 0.0, True, settings.counter_timeout
@@ -464,8 +465,9 @@
         # What totals let in stays within the quota over all gateways, and so under the ceiling: it needs no
         # part of that, unless the counter forgot lately. Guards against refusing inside a quota where a part
         # is a few requests' worth. Parts are for what is let in without, and leave room for the rest.
-        work.told = asked and inside and self.now - self.forgot_at > TTL_WINDOWS * c.length
-        need = work.cost + (min(1.0, self.ask) * c.limit / c.spread if inside
+        told = asked and inside and self.now - self.forgot_at > TTL_WINDOWS * c.length
+        work.ceiled = plan.ceiling_rate > 0 and not told
+        need = work.cost + (self.ask * c.limit / c.spread if inside
                             else BEYOND_ROOM * plan.ceiling_burst / c.spread)  # fmt: skip
         if not inside:
             self.take_back(work)
@@ -474,8 +476,7 @@
             if work.added is False:  # what was let in without a call rides on the customer's next one
                 work.added = True
                 self.owe(c, work.cost, now=asked)
-        ceiling = plan.ceiling_rate > 0 and not work.told
-        if (inside or plan.over_worth > plan.over_cost) and (not ceiling or c.room >= need):
+        if (inside or plan.over_worth > plan.over_cost) and (not work.ceiled or c.room >= need):
             self.dispatch(work)
         else:
             if inside:
@@ -552,9 +553,10 @@
             cold = self.coldness(server) < 1
             if cold and n or key in avoid or len(server.out) * self.slowness(server) * usual >= most:
                 continue
-            if cold and server.ill.get(cls, [0.0, 0.0])[1] <= self.now:
+            ejected = server.ill.get(cls, [0.0, 0.0])[1] > self.now
+            if cold and not ejected:
                 return key
-            (spared if server.ill.get(cls, [0.0, 0.0])[1] > self.now else fit).append((key, server))
+            (spared if ejected else fit).append((key, server))
             if len(fit) == 2:
                 break
         fit = fit or spared[:2]
@@ -608,8 +610,8 @@
         if key is None:
             self.give_up(work)
             return
-        server, plan = self.servers[key], work.customer.plan
-        if not work.sent and plan.ceiling_rate > 0 and not work.told:
+        server = self.servers[key]
+        if not work.sent and work.ceiled:
             work.customer.room -= work.cost
         work.sent = True
         work.live[n := len(work.attempts)] = key
@@ -758,16 +760,18 @@
                 server.ill[cls] = [min(ILL, server.ill[cls][0] * (1 - ILL_STEP)), 0.0, EJECT_FIRST]
         elif event.end in (End.TIMEOUT, End.FULL):
             server.ratio = min(20.0, server.ratio * 1.2)
+        if event.end not in (End.ERROR, End.RESET, End.TIMEOUT, End.CONNECT_FAILED):
+            return
         # Guards against learning nothing where each server is met once in many seconds, as by one of forty
         # gateways: what is met less often within FORGET is believed sooner, and for longer.
         met = max(1.0, self.answered / PACE * FORGET / max(1, len(self.ready)))
         step, first = max(ILL_STEP, ILL_RARE / met), max(EJECT_FIRST, EJECT_MOST / met)
         # Judged by class: guards against a server that fails, or swallows, one class and serves the others,
         # and by being quick to fail draws ever more of it. A failed connect speaks for all classes.
-        weight = {End.ERROR: step, End.RESET: step, End.TIMEOUT: RECENT}.get(event.end, 0.0)
-        for n in range(len(self.usual)) if event.end is End.CONNECT_FAILED else [cls] if weight else []:
+        weight = {End.TIMEOUT: RECENT, End.CONNECT_FAILED: 1.0}.get(event.end, step)
+        for n in range(len(self.usual)) if event.end is End.CONNECT_FAILED else [cls]:
             ill = server.ill.setdefault(n, [0.0, 0.0, first])
-            ill[0] += (1 - ill[0]) * (weight or 1.0)
+            ill[0] += (1 - ill[0]) * weight
             if ill[0] > ILL:
                 ill[1:] = [self.now + max(first, ill[2]), min(EJECT_MOST, 2 * ill[2])]
 
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -110,8 +110,11 @@
     def attempt(self) -> fx.SendAttempt:
         return [e for e in self.out if isinstance(e, fx.SendAttempt)][-1]
 
+    def list_questions(self) -> list[fx.AskNodeList]:
+        return [e for e in self.out if isinstance(e, fx.AskNodeList)]
+
     def list_question(self) -> fx.AskNodeList:
-        return [e for e in self.out if isinstance(e, fx.AskNodeList)][-1]
+        return self.list_questions()[-1]
 
     @property
     def answers(self) -> list[fx.AnswerClient]:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -22,7 +22,7 @@
     "window": ("< work.risky_at + work.cls.window", "< math.inf", "after the window"),
     "group": ("ready = [k for k in ready if self.same_group(work, k)]", "pass", "outside the group"),
     "refusal": (EFFECT + "work.cls.group is Group.ALL", "return True", "refused"),
-    "ceiling": ("(not ceiling or c.room >= need)", "True", "ceiling"),
+    "ceiling": ("(not work.ceiled or c.room >= need)", "True", "ceiling"),
     "patience": ("request.budget / 2 - s.tick", "1.0", "overdue"),
 }
 
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -166,9 +166,9 @@
     for asked in range(1, 21):
         line = desk.list_question().line
         desk.step(ev.NodeListAnswered(line, True, 9, i.ListKind.CHANGES, ()))
-        assert len([e for e in desk.out if isinstance(e, fx.AskNodeList)]) == asked
+        assert len(desk.list_questions()) == asked
         desk.pass_time(timedelta(milliseconds=150))
-        assert len([e for e in desk.out if isinstance(e, fx.AskNodeList)]) == asked + 1
+        assert len(desk.list_questions()) == asked + 1
     for _ in range(20):
         desk.step(ev.NodeListAnswered(desk.list_question().line, False))
         desk.pass_time(timedelta(milliseconds=150))
@@ -183,8 +183,8 @@
     for desk in desks:
         for _ in range(6):
             desk.step(ev.NodeListAnswered(desk.list_question().line, False, turned_away=True))
-            asked = len([e for e in desk.out if isinstance(e, fx.AskNodeList)])
-            while len([e for e in desk.out if isinstance(e, fx.AskNodeList)]) == asked:
+            asked = len(desk.list_questions())
+            while len(desk.list_questions()) == asked:
                 desk.pass_time(timedelta(milliseconds=100))
                 desk.bring_up()
         assert desk.list_question().since == 7, "what was told before is asked on from"
@@ -200,7 +200,7 @@
     desks = [Desk(seed=n, list_turn=timedelta(seconds=4)) for n in range(40)]
     first = []
     for desk in desks:
-        while not any(isinstance(e, fx.AskNodeList) for e in desk.out):
+        while not desk.list_questions():
             desk.pass_time(timedelta(milliseconds=50))
             desk.bring_up()
         first.append(desk.now - START)
@@ -209,10 +209,10 @@
     assert max(seconds.count(n) for n in range(4)) <= 16
     desk = desks[0]
     desk.step(ev.NodeListAnswered(desk.list_question().line, False, turned_away=True))
-    asked = len([e for e in desk.out if isinstance(e, fx.AskNodeList)])
+    asked = len(desk.list_questions())
     desk.pass_time(timedelta(milliseconds=1900))
     desk.bring_up()
-    assert len([e for e in desk.out if isinstance(e, fx.AskNodeList)]) == asked, "half a turn at least"
+    assert len(desk.list_questions()) == asked, "half a turn at least"
 
 
 def test_a_silent_node_list_is_asked_anew_and_serving_goes_on() -> None:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -339,11 +339,17 @@
     assert rig.gateway.shed == 0.0
 
 
-def test_a_pressed_counter_is_not_asked_for_what_overload_sheds() -> None:
+def pressed_and_overloaded() -> Rig:
+    """A gateway whose counter has just failed once, and which sheds nearly all."""
     rig = Rig(settings())
     rig.gateway.call_failed()
     rig.gateway.shed = 0.95
     rig.gateway.late = rig.gateway.answered = 50.0
+    return rig
+
+
+def test_a_pressed_counter_is_not_asked_for_what_overload_sheds() -> None:
+    rig = pressed_and_overloaded()
     before = rig.calls
     verdicts = [rig.ask(customer=n) for n in range(60)]
     assert verdicts.count("refused") > 45
@@ -416,10 +422,7 @@
 
 def test_what_overload_sheds_does_not_shut_its_customer_out() -> None:
     # Forty gateways meet each customer rarely: a refusal that no total has spoken for is not the next one's.
-    rig = Rig(settings())
-    rig.gateway.call_failed()
-    rig.gateway.shed = 0.95
-    rig.gateway.late = rig.gateway.answered = 50.0
+    rig = pressed_and_overloaded()
     refused = [n for n in range(60) if rig.ask(customer=n) == "refused"]
     assert len(refused) > 45
     for _ in range(len(rig.sends)):
