Pass long bodies on as they come, both ways, and give slow requests and answers their time

Change: up to 64 KiB are held whole as before, so that a spoilt answer or failed send can be tried elsewhere. A longer good answer flows from its connection to its client with back-pressure (AnswerFlows, AnswerWhole, FlowOver); its time is met by the first bytes. A longer request body takes its attempt with its first 64 KiB and is poured into it; it is timed, and counts as load, from its last byte (Written), and half a body is never sent again. Held instead: 32 MB bodies do not fit the memory; spooled to $TMPDIR: that counts as memory. A head has 2.45 s from its first bytes, a body may stop for 2.2 s, an answer's part for 300 ms, a reader for 10 s. Bodies ended by close, Expect: 100-continue, early answers with the rest of the body read out. Several cores keep to 64 KiB: a long body would have to pass between workers.

--- a/opalgauge/cores/worker.py
+++ b/opalgauge/cores/worker.py
@@ -127,6 +127,7 @@
             fx.RecallOrder: self._recall,
         }
         self.clients = Clients(config.trade, self._taken, lambda: not self.draining, CoreFront)
+        self.exchange.flows = self.clients.long = False  # a long body would have to pass between workers
         self.clients.server.core = self  # type: ignore[attr-defined]
         self.clients.over = self._order_over
         self.exchange.clients = self.clients
@@ -281,7 +282,7 @@
 
     def _answer(self, effect: fx.AnswerClient) -> None:
         if effect.order >= 0:
-            self.clients.answer(effect)
+            self.clients.answer(effect)  # never one that is passed on while it comes
             return
         slot, tag = self.marks.get(effect.order, (-1, 0))
         found = self._foreign_over(effect.order)
--- a/opalgauge/memory/effects.py
+++ b/opalgauge/memory/effects.py
@@ -65,7 +65,10 @@
 
 @dataclass(slots=True)
 class AnswerClient:
-    """The one final answer to an order. `last`: the client's connection ends with it."""
+    """The one final answer to an order. `last`: the client's connection ends with it.
+
+    `flow`: the body comes over that connection and is passed on as it does; `length`: its bytes, where told.
+    """
 
     order: int
     status: int
@@ -73,6 +76,8 @@
     content_type: str = ""
     retry_after: timedelta | None = None
     last: bool = False
+    flow: int = 0
+    length: int | None = None
 
 
 @dataclass(slots=True)
--- a/opalgauge/memory/events.py
+++ b/opalgauge/memory/events.py
@@ -35,7 +35,9 @@
     target: str
     correlation: str
     content: tuple[tuple[str, str], ...]  # the headers that describe the body
-    body: bytes
+    body: bytes  # whole, or its beginning where `more` is to come
+    more: bool = False
+    length: int | None = None  # of a body with more to come, where its client has told
 
 
 @dataclass(slots=True)
@@ -99,6 +101,41 @@
     client: int
 
 
+@dataclass(slots=True)
+class RequestBegun:
+    """A part of a request's head has come, and the rest has not."""
+
+    client: int
+
+
+@dataclass(slots=True)
+class BodyComing:
+    """A request's head is whole and its body is not; the wire sees to it that it does not stall."""
+
+    client: int
+
+
+@dataclass(slots=True)
+class RequestOver:
+    """A request that became no order has been answered, or all of a body that nobody wants has come."""
+
+    client: int
+
+
+@dataclass(slots=True)
+class BodyEnded:
+    """The last byte of an order's body has come, of which only the beginning came with the order."""
+
+    order: int
+
+
+@dataclass(slots=True)
+class BodyStalled:
+    """An order's client has stopped sending its body."""
+
+    order: int
+
+
 @dataclass(slots=True)
 class ClientLeft:
     """A client's connection has ended, whichever side closed it, and with it whatever was asked over it."""
@@ -130,11 +167,51 @@
 
 @dataclass(slots=True)
 class AnswerBegun:
-    """An answer has begun to come, and its last byte has not come with the first."""
+    """An answer has begun to come, or gone on, and its last byte has not come."""
 
     line: int
 
 
+@dataclass(slots=True)
+class AttemptHeld:
+    """An attempt's last byte has not left yet: the stock node, or the client behind it, is slow."""
+
+    line: int
+
+
+@dataclass(slots=True)
+class AttemptWritten:
+    """The last byte of an attempt that was held has left."""
+
+    line: int
+
+
+@dataclass(slots=True)
+class AnswerFlows:
+    """A good answer is too long to be held: it is to be passed on while it comes. `length`: as it says."""
+
+    line: int
+    content_type: str
+    length: int | None
+    load: dict[str, float]
+
+
+@dataclass(slots=True)
+class AnswerWhole:
+    """The last byte of an answer that is being passed on has come from the stock node."""
+
+    line: int
+    keep: bool
+
+
+@dataclass(slots=True)
+class FlowOver:
+    """An order's client has been given the last byte of its long answer, or the answer broke off."""
+
+    order: int
+    whole: bool
+
+
 @dataclass(slots=True)
 class NodeAnswered:
     """A stock node answered an attempt or a probe. `keep`: the connection can carry another."""
@@ -250,10 +327,20 @@
     | CoreLost
     | ClientCame
     | ClientLeft
+    | RequestBegun
+    | BodyComing
+    | RequestOver
+    | BodyEnded
+    | BodyStalled
     | LineUp
     | LineEnded
     | LineStale
     | AnswerBegun
+    | AttemptHeld
+    | AttemptWritten
+    | AnswerFlows
+    | AnswerWhole
+    | FlowOver
     | NodeAnswered
     | CounterAnswered
     | NodeListAnswered
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -15,7 +15,18 @@
 
 from opalgauge.memory import effects as fx
 from opalgauge.memory import events as ev
-from opalgauge.memory.state import Attempt, Books, CounterCall, Figures, House, Line, Order, Stage, Tally
+from opalgauge.memory.state import (
+    Attempt,
+    Books,
+    CounterCall,
+    Figures,
+    Flow,
+    House,
+    Line,
+    Order,
+    Stage,
+    Tally,
+)
 from starlinggap import Gateway
 from starlinggap import interface as i
 
@@ -50,6 +61,16 @@
             ev.CoreLost: self._core_lost,
             ev.ClientCame: self._client_came,
             ev.ClientLeft: self._client_left,
+            ev.RequestBegun: self._request_begun,
+            ev.BodyComing: self._body_coming,
+            ev.RequestOver: self._request_over,
+            ev.BodyEnded: self._body_ended,
+            ev.BodyStalled: self._body_stalled,
+            ev.AttemptHeld: self._attempt_held,
+            ev.AttemptWritten: self._attempt_written,
+            ev.AnswerFlows: self._answer_flows,
+            ev.AnswerWhole: self._answer_whole,
+            ev.FlowOver: self._flow_over,
             ev.LineUp: self._line_up,
             ev.LineEnded: self._line_ended,
             ev.LineStale: self._line_stale,
@@ -99,8 +120,8 @@
             for action in self.gateway.handle(self.now.timestamp(), news):
                 self.act[type(action)](action)
         books = self.books
-        crowd = books.silent or books.kept or books.asking
-        if books.draining and not books.orders and not books.left and (
+        crowd = books.silent or books.kept or books.asking or books.arriving or books.bodies
+        if books.draining and not books.orders and not books.flows and not books.left and (
             books.grace_over or books.successor and not crowd
         ):
             books.left = True
@@ -140,6 +161,7 @@
                 i.Request(
                     event.order, event.kind, event.tariff, event.account, budget.total_seconds(),
                     event.units, event.spread, event.first, event.repeat, event.parts, event.held,
+                    event.errand.more,
                 )
             )  # fmt: skip
 
@@ -167,15 +189,14 @@
 
     def _turn_away(self, order: int, client: int, status: int, retry: timedelta | None = None) -> None:
         """A final answer to a request that does not become an order."""
-        self.books.silent.pop(client, None)
+        self._unquiet(client)
         self.out.append(fx.AnswerClient(order, status, retry_after=retry, last=self.books.draining))
         self._keep(client)
 
     def _open_order(self, event: ev.OrderTaken, core: int | None) -> timedelta | None:
         """Enters an order and its guard; gives the time that the decisions have, or None: turned away."""
         house, books = self.house, self.books
-        books.silent.pop(event.client, None)
-        first = books.kept.pop(event.client, None) is None
+        first = self._unquiet(event.client)
         if len(books.orders) >= house.most_orders:
             # Guards against a crowd of clients taking all memory; nothing has run, so a repeat is harmless.
             retry = timedelta(seconds=house.settings.max_retry_after)
@@ -193,9 +214,12 @@
         time_left = min(event.time_left, timedelta(seconds=kind.deadline))
         answer_by = self.now + max(time_left - house.guard_margin, time_left / 2)
         budget = max(time_left - house.answer_margin, time_left / 4)
+        more = event.errand.more
+        if more:  # a request is timed from its last byte
+            answer_by = self.now + house.body_limit
         books.orders[event.order] = Order(
             event.order, event.errand, event.kind, kind.effect is i.Effect.SAFE, answer_by, event.client,
-            first, core,
+            first, core, coming=time_left if more else None,
         )  # fmt: skip
         books.asking[event.client] = event.order
         # Guards against decisions that never come: the client gets its answer in any case.
@@ -204,7 +228,8 @@
 
     def _client_came(self, event: ev.ClientCame) -> None:
         books, house = self.books, self.house
-        if len(books.silent) + len(books.asking) + len(books.kept) >= house.most_clients:
+        quiet_ones = len(books.silent) + len(books.arriving) + len(books.bodies)
+        if quiet_ones + len(books.asking) + len(books.kept) >= house.most_clients:
             # Guards the limit on sockets against clients that connect and ask nothing: over it, neither a
             # client nor a stock node could be reached any more. The one that is least missed makes room.
             for quiet, least in (
@@ -224,14 +249,54 @@
 
     def _client_left(self, event: ev.ClientLeft) -> None:
         books = self.books
-        books.silent.pop(event.client, None)
-        books.kept.pop(event.client, None)
+        self._unquiet(event.client)
         number = books.asking.pop(event.client, None)
+        if number is not None and (flow := books.flows.pop(number, None)):
+            books.tally.gone += 1
+            self._cut(flow)
         if number is not None and (order := books.orders.pop(number, None)):
             books.open_ids.discard(order.errand.correlation)
             books.tally.gone += 1
             self._unwanted(order)
 
+    def _unquiet(self, client: int) -> bool:
+        """Whatever it was: it is no longer one that owes a request. Whether it has had no answer yet."""
+        books = self.books
+        books.silent.pop(client, None)
+        books.arriving.pop(client, None)
+        books.bodies.discard(client)
+        return books.kept.pop(client, None) is None
+
+    def _request_begun(self, event: ev.RequestBegun) -> None:
+        books = self.books
+        if event.client not in books.asking and event.client not in books.bodies:
+            books.silent.pop(event.client, None)
+            books.kept.pop(event.client, None)
+            books.arriving.setdefault(event.client, self.now)
+            self._look_later()
+
+    def _body_coming(self, event: ev.BodyComing) -> None:
+        self._unquiet(event.client)
+        self.books.bodies.add(event.client)
+
+    def _request_over(self, event: ev.RequestOver) -> None:
+        if event.client not in self.books.asking:
+            self._unquiet(event.client)
+            self._keep(event.client)
+
+    def _body_ended(self, event: ev.BodyEnded) -> None:
+        order = self.books.orders.get(event.order)
+        if order is not None and order.coming is not None:
+            left, order.coming = order.coming, None
+            order.answer_by = self.now + max(left - self.house.guard_margin, left / 2)
+            self._at(order.answer_by, self._overdue, event.order)
+
+    def _body_stalled(self, event: ev.BodyStalled) -> None:
+        # Guards a stock node's connection against a client that stops in the middle of its body.
+        if order := self.books.orders.get(event.order):
+            self._answer(event.order, 408, final=True)
+            self._unwanted(order)
+
     def _keep(self, client: int) -> None:
         """A client has its answer: its connection waits for the next request."""
         self.books.kept[client] = self.now
@@ -247,21 +312,25 @@
         # and stay: each would hold a socket for good.
         books, house = self.books, self.house
         books.looking = False
-        for quiet, limit in ((books.silent, house.silent_limit), (books.kept, house.kept_limit)):
+        for quiet, limit in (
+            (books.silent, house.silent_limit),
+            (books.arriving, house.head_limit),
+            (books.kept, house.kept_limit),
+        ):
             for client, since in list(quiet.items()):
                 if self.now - since < limit:
                     break
                 self._dismiss(client)
-        if books.silent or books.kept:
+        if books.silent or books.arriving or books.kept:
             self._look_later()
 
     def _dismiss(self, client: int) -> None:
-        self.books.silent.pop(client, None)
-        self.books.kept.pop(client, None)
+        self._unquiet(client)
         self.out.append(fx.CloseClient(client))
 
     def _overdue(self, number: int) -> None:
-        if order := self.books.orders.get(number):
+        order = self.books.orders.get(number)
+        if order is not None and self.now >= order.answer_by:
             self._answer(number, 504)
             self._unwanted(order)
 
@@ -272,20 +341,24 @@
         else:
             self.out.append(fx.RecallOrder(order.core, order.number))
 
-    def _answer(self, number: int, status: int, **more: Any) -> None:
+    def _answer(self, number: int, status: int, final: bool = False, **more: Any) -> None:
         """The one final answer: an order that is answered is no longer held, so there is no second."""
         if order := self.books.orders.pop(number, None):
             self.books.open_ids.discard(order.errand.correlation)
             books = self.books
             tally = books.tally
-            ends = tally.passed if status == 200 else tally.dropped if status == 429 else tally.failed
-            ends[order.kind] += 1
+            flows = "flow" in more
+            if not flows:
+                ends = tally.passed if status == 200 else tally.dropped if status == 429 else tally.failed
+                ends[order.kind] += 1
             # Guards the clients' sockets against a crowd that asks once and stays: while it holds them,
             # others cannot connect. Connections that are used again and again are left alone.
             crowded = order.first and len(books.asking) + len(books.kept) > self.house.crowd
-            last = books.draining or crowded
+            last = books.draining or crowded or final
             self.out.append(fx.AnswerClient(number, status, last=last, **more))
-            if self.books.asking.pop(order.client, None) is not None:
+            if flows:
+                books.flows[number] = Flow(number, order.kind, order.client, more["flow"])
+            elif self.books.asking.pop(order.client, None) is not None:
                 self._keep(order.client)
 
     def _refuse(self, action: i.Refuse) -> None:
@@ -309,11 +382,17 @@
         if order:
             order.attempts += 1
         stop_at = min(datetime.fromtimestamp(action.stop_at, UTC), order.answer_by) if order else self.now
+        if order and order.coming is not None:
+            stop_at = order.answer_by
         attempt = Attempt(action.request, number, action.server, self.now, stop_at)
         if order is None or number >= self.house.settings.max_attempts or stop_at <= self.now:
             # Guards against an attempt for what is over: the decisions hear that it was not sent.
             self._ended(attempt, i.End.MOOT)
             return
+        if order.poured:
+            # Guards against half a body: what came after its beginning is not kept, and cannot be sent again.
+            self._ended(attempt, i.End.MOOT)
+            return
         if not self.house.settings.parallel and order.out:
             # Guards against a second attempt while the first is out, whoever asks for it.
             self._ended(attempt, i.End.MOOT)
@@ -350,10 +429,31 @@
         if attempt.probe:
             self.out.append(fx.SendProbe(line.number))
         elif order := self.books.orders.get(attempt.order):
-            left = max(NOTHING, attempt.stop_at - self.now)
-            self.books.tally.tries += 1
+            left = order.coming or max(NOTHING, attempt.stop_at - self.now)
+            order.poured = order.errand.more
+            attempt.written = not order.errand.more
+            self.books.tally.tries += attempt.written
             self.out.append(fx.SendAttempt(line.number, order.errand, left, order.number))
 
+    def _not_written(self, attempt: Attempt) -> None:
+        if attempt.written:
+            attempt.written = False
+            self.books.tally.tries -= 1
+
+    def _attempt_held(self, event: ev.AttemptHeld) -> None:
+        line = self.books.lines.get(event.line)
+        if line is not None and line.attempt:
+            self._not_written(line.attempt)
+
+    def _attempt_written(self, event: ev.AttemptWritten) -> None:
+        line = self.books.lines.get(event.line)
+        if line is not None and (attempt := line.attempt) and not attempt.written:
+            attempt.written = True
+            self.books.tally.tries += 1
+            order = self.books.orders.get(attempt.order)
+            if order is not None and order.errand.more:
+                self.news.append(i.Written(attempt.order, attempt.number))
+
     def _ended(self, attempt: Attempt, end: i.End, load: dict[str, float] | None = None) -> None:
         """The decisions hear how an attempt or a probe ended, once."""
         took = (self.now - attempt.started).total_seconds()
@@ -456,8 +556,8 @@
     def _line_ended(self, event: ev.LineEnded) -> None:
         line = self.books.lines.get(event.line)
         if line is not None:
-            if event.reached is ev.Reached.WRITING and line.attempt and not line.attempt.probe:
-                self.books.tally.tries -= line.stage is Stage.BUSY  # its last byte never left
+            if event.reached is ev.Reached.WRITING and line.attempt:
+                self._not_written(line.attempt)  # its last byte never left
             self._forget(line)
             self._lost(line, event.reached)
 
@@ -467,12 +567,15 @@
         if line is None:
             return
         self._forget(line)
+        line.flow = 0
         if line.party is fx.Party.NODE_LIST:
             self._ask_list()
         elif line.party is fx.Party.STOCK_NODE:
             if attempt := line.attempt:
                 line.attempt = None
-                self.books.tally.tries -= not attempt.probe
+                self._not_written(attempt)
+                if order := self.books.orders.get(attempt.order):
+                    order.poured = False
                 self._carry(attempt)
         else:
             place = line.written[0].name % self.house.counter_lines
@@ -481,7 +584,9 @@
     def _answer_begun(self, event: ev.AnswerBegun) -> None:
         if line := self.books.lines.get(event.line):
             line.begun = self.now
-            self._at(self.now + self.house.answer_patience, self._answer_halting, line, self.now)
+            node = line.party is fx.Party.STOCK_NODE
+            patience = self.house.node_patience if node else self.house.answer_patience
+            self._at(self.now + patience, self._answer_halting, line, self.now)
 
     def _answer_halting(self, line: Line, begun: datetime) -> None:
         # Guards against answers that promise more than they bring: whatever else waits there waits in vain.
@@ -516,7 +621,7 @@
         if line is None:
             return
         attempt, line.begun = line.attempt, None
-        if event.keep and attempt is not None and line.node in self.books.nodes:
+        if event.keep and attempt is not None and line.node in self.books.nodes and not self._out(line.node):
             self._rest(line)
         else:
             self._close_line(line)
@@ -526,6 +631,53 @@
             self._answer(attempt.order, 200, body=event.body, content_type=event.content_type)
         self._ended(attempt, event.end, event.load)
 
+    # --- long answers --------------------------------------------------------------------------------------
+    def _answer_flows(self, event: ev.AnswerFlows) -> None:
+        line = self.books.lines.get(event.line)
+        if line is None:
+            return
+        attempt, line.begun = line.attempt, None
+        if attempt is None or attempt.probe or attempt.order not in self.books.orders:
+            self._close_line(line)
+            self._lost(line, ev.Reached.ANSWERING)
+            return
+        line.attempt, line.flow = None, attempt.order
+        self._answer(
+            attempt.order, 200, content_type=event.content_type, flow=line.number, length=event.length
+        )
+        # The aim is met by the first bytes, and what comes after them says nothing of the node's pace.
+        self._ended(attempt, i.End.OK, event.load)
+
+    def _answer_whole(self, event: ev.AnswerWhole) -> None:
+        line = self.books.lines.get(event.line)
+        if line is None:
+            return
+        if flow := self.books.flows.get(line.flow):
+            flow.line = 0
+        line.flow = 0
+        if event.keep and line.node in self.books.nodes and not self._out(line.node):
+            self._rest(line)
+        else:
+            self._close_line(line)
+
+    def _flow_over(self, event: ev.FlowOver) -> None:
+        books = self.books
+        if flow := books.flows.pop(event.order, None):
+            (books.tally.passed if event.whole else books.tally.failed)[flow.kind] += 1
+            self._cut(flow)
+            if books.asking.pop(flow.client, None) is not None:
+                self._keep(flow.client)
+
+    def _cut(self, flow: Flow) -> None:
+        """Nobody waits for the rest of a long answer, if there is one."""
+        line = self.books.lines.get(flow.line)
+        if line is not None and line.flow == flow.order:
+            self._close_line(line)
+
+    def _out(self, node: int) -> bool:
+        mark = self.books.marks.get(node)
+        return mark is not None and mark.out
+
     # --- quota counter -------------------------------------------------------------------------------------
     def _count(self, action: i.Count) -> None:
         house, books = self.house, self.books
@@ -747,7 +899,8 @@
         """A look at the counts and at what is now; changes nothing."""
         books, tally = self.books, self.books.tally
         return Figures(
-            tuple(tally.passed), tuple(tally.dropped), tuple(tally.failed), tally.tries, len(books.orders),
+            tuple(tally.passed), tuple(tally.dropped), tuple(tally.failed), tally.tries,
+            sum(o.coming is None for o in books.orders.values()) + len(books.flows),
             len(books.nodes), self.gateway.avoided(self.now.timestamp()),
         )  # fmt: skip
 
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -30,14 +30,17 @@
     most_clients: int  # connections from clients at once
     crowd: int  # connections that have asked: over it, new ones end with their first answer
     most_marks: int = 1000  # stock nodes that staff may have out at once
-    silent_limit: timedelta = timedelta(milliseconds=2100)  # without a whole request since it was opened
+    silent_limit: timedelta = timedelta(milliseconds=2100)  # without a byte of a request since it was opened
+    head_limit: timedelta = timedelta(milliseconds=2450)  # from a head's first bytes to its last
+    body_limit: timedelta = timedelta(minutes=10)  # for a long body to come, if it never stalls
     kept_limit: timedelta = timedelta(milliseconds=2100)  # without another since the last answer
     kept_least: timedelta = timedelta(seconds=2)  # it is left alone so long where there is room for others
     silent_least: timedelta = timedelta(milliseconds=100)  # the time a request needs behind its connection
     client_round: timedelta = timedelta(milliseconds=250)  # between looks at them
     counter_lines: int = 16  # of the 32 that the counter holds: room for those it has not yet seen closed
     counter_depth: int = 256  # calls without an answer on one connection
-    answer_patience: timedelta = timedelta(milliseconds=100)  # from an answer's first bytes to its last
+    answer_patience: timedelta = timedelta(milliseconds=100)  # between parts of a counter's or list's answer
+    node_patience: timedelta = timedelta(milliseconds=300)  # and of a stock node's
     counter_patience: timedelta = timedelta(seconds=2)  # a counter connection silent so long is replaced
     counter_doubt: timedelta = timedelta(milliseconds=200)  # one that is silent while others answer, so long
     # A watch that has died in silence is known by this alone: an agent that lives answers within the wait.
@@ -94,6 +97,7 @@
     stop_at: datetime
     line: int = 0
     probe: bool = False
+    written: bool = False  # whole, as far as is known
 
 
 @dataclass(slots=True)
@@ -118,6 +122,7 @@
     attempt: Attempt | None = None
     since: datetime | None = None  # idle since
     begun: datetime | None = None  # when an answer that is not whole yet began to come
+    flow: int = 0  # the order whose long answer comes over it
     waiting: deque[CounterCall] = field(default_factory=deque)  # counter calls until the line is up
     written: deque[CounterCall] = field(default_factory=deque)  # counter calls without an answer
 
@@ -136,10 +141,22 @@
     core: int | None = None  # that decides about it, where it is not this one
     attempts: int = 0
     out: int = 0  # of the attempts, those that have not ended
+    coming: timedelta | None = None  # its body still comes: the time its client gives it from the last byte
+    poured: bool = False  # what came of its body after the beginning has been sent, and is not kept
     may_have_run: bool = False
     timed_out: bool = False
 
 
+@dataclass(slots=True)
+class Flow:
+    """A long answer that is being passed on: whose, and over which connection it comes."""
+
+    order: int
+    kind: int
+    client: int
+    line: int  # 0: all of it has come
+
+
 @dataclass(slots=True)
 class Books:
     """All the state of an ingress but the decisions' own."""
@@ -153,7 +170,10 @@
     # Connections from clients: those that have asked nothing yet, those that wait for an answer (and for
     # which), and those kept after one. The first and the last say since when, the longest first.
     silent: dict[int, datetime] = field(default_factory=dict)
+    arriving: dict[int, datetime] = field(default_factory=dict)  # a part of whose head has come, and when
+    bodies: set[int] = field(default_factory=set)  # those of which a body comes and no order is held
     asking: dict[int, int] = field(default_factory=dict)
+    flows: dict[int, Flow] = field(default_factory=dict)  # by order
     kept: dict[int, datetime] = field(default_factory=dict)
     looking: bool = False  # a look at the connections that ask nothing is due
     attempts: dict[tuple[int, int], Attempt] = field(default_factory=dict)
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -10,16 +10,31 @@
 from datetime import timedelta
 from typing import Any
 
-from aiohttp import web
-from aiohttp.http import RawRequestMessage
+from aiohttp import ClientPayloadError, web
+from aiohttp.http import HttpProcessingError, HttpVersion11, RawRequestMessage
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 
 from opalgauge.memory.effects import AnswerClient
-from opalgauge.memory.events import ClientCame, ClientLeft, Errand, Event, OrderTaken
+from opalgauge.memory.events import (
+    BodyComing,
+    ClientCame,
+    ClientLeft,
+    Errand,
+    Event,
+    FlowOver,
+    OrderTaken,
+    RequestBegun,
+    RequestOver,
+)
+from opalgauge.wire.line import MOST_BODY, MOST_LONG
 
 BACKLOG = 512  # connections that wait to be accepted
-MOST_BODY = 64 * 1024  # bytes
+BODY_STALL = 2.2  # s: a client that sends nothing of its body for so long has stopped
+LEAST_RATE = 4096  # bytes a second, over all of a body: a client that sends less holds a place for nothing
+READ_STALL = 10.0  # s: a client that reads nothing of a long answer for so long has stopped
+NODE_STALL = 5.0  # s: a stock node that gives nothing of it for so long has
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MOST_ACCOUNT = 2**33
 LONGEST = 3600.0  # s: nobody waits longer for an answer
 CONTENT = ("Content-Type", "Content-Encoding")  # what says how a body is to be read goes with it
@@ -106,6 +121,18 @@
     )  # fmt: skip
 
 
+class Handler(RequestHandler):
+    """aiohttp's connection handler, which also tells when a request has begun and is not whole."""
+
+    __slots__ = ()
+
+    def data_received(self, data: bytes) -> None:
+        super().data_received(data)
+        waiter = self._waiter
+        if waiter is not None and not waiter.done() and not self._messages and self._manager is not None:
+            self._manager.begun(self)  # type: ignore[attr-defined]
+
+
 class Front(web.Server):
     """aiohttp's low-level server, which also tells when connections come and go."""
 
@@ -114,6 +141,14 @@
     ) -> None:
         super().__init__(**more)
         self.came, self.went = came, went
+        self.part: Callable[[RequestHandler], None] | None = None
+
+    def __call__(self) -> RequestHandler:
+        return Handler(self, loop=self._loop, **self._kwargs)
+
+    def begun(self, handler: RequestHandler) -> None:
+        if self.part is not None:
+            self.part(handler)
 
     def connection_made(self, handler: RequestHandler, transport: asyncio.Transport) -> None:
         super().connection_made(handler, transport)
@@ -136,10 +171,12 @@
     ) -> None:
         self.trade, self.report, self.ready = trade, report, ready
         self.over: Callable[[int], None] | None = None  # told of each order that waits no more
-        self.waiting: dict[int, asyncio.Future[AnswerClient]] = {}
+        self.waiting: dict[int, asyncio.Future[tuple[AnswerClient, StreamReader | None]]] = {}
         self.connections: dict[int, RequestHandler] = {}
         self.numbers: dict[RequestHandler, int] = {}
         self.reading: dict[RequestHandler, StreamReader] = {}  # bodies whose last byte has not come
+        self.bodies: dict[int, StreamReader] = {}  # by order: what comes behind the beginning of its body
+        self.long = True  # bodies over `MOST_BODY` are passed on; not where orders pass between cores
         self.busy: set[RequestHandler] = set()
         self.number = self.connection = 0
         self.last = False
@@ -166,6 +203,7 @@
             keepalive_timeout=LONGEST,  # the reducer says which connections are to be closed
             lingering_time=0,  # guards against reading on for 10 s where a body is too long to be taken
         )
+        self.server.part = self._begun
 
     async def listen(self, host: str, port: int, inherited: int | None = None) -> None:
         """Listens at an address, or on the listening socket that this process was started with."""
@@ -200,6 +238,14 @@
         self.numbers[connection] = self.connection
         self.report(ClientCame(self.connection))
 
+    def _begun(self, connection: RequestHandler) -> None:
+        if number := self.numbers.get(connection):
+            self.report(RequestBegun(number))
+
+    def body(self, order: int) -> StreamReader | None:
+        """What comes behind the beginning of an order's body."""
+        return self.bodies.get(order)
+
     def _went(self, connection: RequestHandler) -> None:
         if number := self.numbers.pop(connection, None):
             self.connections.pop(number, None)
@@ -217,35 +263,56 @@
             connection.transport.abort()  # guards against a client that does not read its answer
         # Otherwise a whole request has been read and its order is on its way: closing now would lose it.
 
-    def answer(self, effect: AnswerClient) -> None:
+    def answer(self, effect: AnswerClient, flow: StreamReader | None = None) -> None:
+        """`flow`: the answer's body, as it comes."""
         waiting = self.waiting.get(effect.order)
         if waiting is not None and not waiting.done():
-            waiting.set_result(effect)
+            waiting.set_result((effect, flow))
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.raw_path == "/ready":
             return web.Response(status=200 if self.ready() else 503)
+        client = self.numbers.get(request.protocol)
+        if client is None:
+            return self._plain(400)  # gone before its request was read
+        whole, body = request.content.is_eof(), b""
         try:
-            if (request.content_length or 0) > MOST_BODY:
+            if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
+                read_order(request, 0, client, b"", self.trade)  # what will be refused is not asked for
+                if not whole and request.version >= HttpVersion11:
+                    request.transport.write(CONTINUE)
+            most = MOST_LONG if self.long else MOST_BODY
+            if (request.content_length or 0) > most:
+                raise Malformed(413, "a body that is too long")
+            if not whole:
+                self.report(BodyComing(client))
+                body, whole = await self._beginning(request)
+            elif request.body_exists:
+                body = request.content.read_nowait(-1)
+            if not whole and not self.long:
                 raise Malformed(413, "a body that is too long")
-            body = await self._read(request) if request.body_exists else b""
             self.number += 1
-            client = self.numbers.get(request.protocol)
-            if client is None:
-                raise Malformed(400, "gone before its request was read")
             order = read_order(request, self.number, client, body, self.trade)
-        except web.HTTPRequestEntityTooLarge:
-            return self._plain(413)
         except Malformed as bad:
+            self.report(RequestOver(client))
             return self._plain(bad.status)
+        if not whole:
+            order.errand.more, order.errand.length = True, request.content_length
+            self.bodies[order.order] = request.content
+        return await self._order(request, order, whole)
+
+    async def _order(self, request: web.BaseRequest, order: OrderTaken, whole: bool) -> web.StreamResponse:
         waiting = self.loop.create_future()
         self.waiting[order.order] = waiting
         self.busy.add(request.protocol)
         try:
             self.report(order)
-            effect: AnswerClient = await waiting
+            effect, flow = await waiting
+            if effect.flow:
+                return await self._pass_on(request, effect, flow)
         finally:
             del self.waiting[order.order]
+            self.bodies.pop(order.order, None)
             if self.over is not None:
                 self.over(order.order)
             self.busy.discard(request.protocol)
@@ -256,14 +323,80 @@
             response.headers["Retry-After"] = f"{effect.retry_after.total_seconds():.3f}"
         if effect.last:
             response.force_close()
+        if not whole and not request.content.is_eof():
+            await self._read_out(request, response, order.client)
+        return response
+
+    async def _read_out(self, request: web.BaseRequest, response: web.Response, client: int) -> None:
+        """The answer leaves at once; what still comes of the request's body is dropped.
+
+        Guards the answer against the reset that a close would send a client that is still writing.
+        """
+        await response.prepare(request)
+        await response.write_eof()
+        self.report(BodyComing(client))
+        try:
+            while not request.content.is_eof():
+                async with asyncio.timeout(BODY_STALL):
+                    await request.content.readany()
+        except Exception:
+            response.force_close()
+        self.report(RequestOver(client))
+
+    async def _pass_on(
+        self, request: web.BaseRequest, effect: AnswerClient, flow: StreamReader | None
+    ) -> web.StreamResponse:
+        """A long answer, from its stock node to its client, no faster than either; memory holds a part of it.
+
+        One that breaks off is ended so that the client can tell: its connection is reset.
+        """
+        response = web.StreamResponse(status=effect.status)
+        if effect.content_type:
+            response.headers["Content-Type"] = effect.content_type
+        if effect.length is not None:
+            response.content_length = effect.length
+        if effect.last:
+            response.force_close()
+        whole = False
+        try:
+            if flow is not None:
+                await response.prepare(request)
+                while not flow.at_eof():
+                    async with asyncio.timeout(NODE_STALL):
+                        data = await flow.readany()
+                    if data:
+                        async with asyncio.timeout(READ_STALL):
+                            await response.write(data)
+                async with asyncio.timeout(READ_STALL):
+                    await response.write_eof()
+                whole = True
+        except (OSError, ValueError, RuntimeError, TimeoutError, HttpProcessingError, ClientPayloadError):
+            pass  # a side has gone, has stopped, or its framing is no good
+        finally:
+            if not whole and request.transport is not None:
+                request.transport.abort()
+            self.report(FlowOver(effect.order, whole))
         return response
 
-    async def _read(self, request: web.BaseRequest) -> bytes:
-        if request.content.is_eof():
-            return await request.read()
+    async def _beginning(self, request: web.BaseRequest) -> tuple[bytes, bool]:
+        """As much of a body as is held, and whether that is all. Raises Malformed where it stops."""
+        parts, size, started = list[bytes](), 0, self.loop.time()
         self.reading[request.protocol] = request.content
         try:
-            return await request.read()
+            while size <= MOST_BODY:
+                async with asyncio.timeout(BODY_STALL):
+                    data = await request.content.readany()
+                if not data and request.content.at_eof():
+                    return b"".join(parts), True
+                parts.append(data)
+                size += len(data)
+                if size < LEAST_RATE * (self.loop.time() - started - BODY_STALL):
+                    raise Malformed(408, "a body that hardly comes")
+            return b"".join(parts), request.content.at_eof()
+        except TimeoutError:
+            raise Malformed(408, "a body that stops") from None
+        except (OSError, ValueError, RuntimeError, HttpProcessingError, ClientPayloadError):
+            raise Malformed(400, "a body that cannot be read") from None
         finally:
             self.reading.pop(request.protocol, None)
 
--- a/opalgauge/wire/exchange.py
+++ b/opalgauge/wire/exchange.py
@@ -5,17 +5,21 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from datetime import datetime
+from datetime import datetime, timedelta
 from typing import Any
 
+from aiohttp import ClientPayloadError, StreamReader
+
 from opalgauge.memory import effects as fx
-from opalgauge.memory.events import Event, LineEnded, LineStale, Reached, Woken
+from opalgauge.memory.events import BodyEnded, BodyStalled, Event, LineEnded, LineStale, Reached, Woken
 from opalgauge.memory.reducer import Reducer
 from opalgauge.wire import quota_counter, stock_nodes
 from opalgauge.wire.clients import Clients
-from opalgauge.wire.line import MOST_BODY, MOST_LIST, MOST_TOTAL, LineProtocol, Reply, Understand
+from opalgauge.wire.line import MOST_BODY, MOST_LIST, MOST_LONG, MOST_TOTAL, LineProtocol, Reply, Understand
 from opalgauge.wire.node_list import NodeListReader, question_bytes
 
+BODY_STALL = timedelta(milliseconds=2200)  # a client that sends nothing of its body for so long has stopped
+NODE_STALL = timedelta(seconds=5)  # a stock node that takes nothing of it for so long has
 MOST_FAULTS = 20  # log lines: a defect that shows at every order must not fill the disk
 
 
@@ -37,6 +41,8 @@
         self.lines: dict[int, LineProtocol] = {}
         self.dials: dict[int, asyncio.Task[None]] = {}
         self.probing: set[int] = set()
+        self.pours: dict[int, asyncio.Task[None]] = {}  # by line: bodies that are passed on as they come
+        self.flows = True  # long bodies pass through; not where orders pass between cores
         self.timer: asyncio.TimerHandle | None = None
         self.events: deque[Event] = deque()
         self.stepping = False
@@ -73,6 +79,7 @@
         if type(event) is LineEnded or type(event) is LineStale:
             self.lines.pop(event.line, None)
             self.probing.discard(event.line)
+            self._stop_pouring(event.line)
         self.events.append(event)
         if self.stepping:
             return
@@ -103,14 +110,15 @@
     # --- connections ---------------------------------------------------------------------------------------
     def _open(self, effect: fx.OpenLine) -> None:
         understand: Understand
-        most = MOST_BODY
+        most, flows = MOST_BODY, None
         if effect.party is fx.Party.QUOTA_COUNTER:
             understand, most = quota_counter.understand_total, MOST_TOTAL
         elif effect.party is fx.Party.NODE_LIST:
             understand, most = self.node_list.understand, MOST_LIST
         else:
             understand = self._understand_node
-        line = LineProtocol(effect.line, self.loop, self.report, understand, most)
+            flows = stock_nodes.understand_flow if self.flows else None
+        line = LineProtocol(effect.line, self.loop, self.report, understand, most, flows)
         self.lines[effect.line] = line
         self.dials[effect.line] = self.loop.create_task(self._dial(effect, line))
 
@@ -129,11 +137,52 @@
         if dial := self.dials.pop(effect.line, None):
             dial.cancel()
         self.probing.discard(effect.line)
+        self._stop_pouring(effect.line)
         if line := self.lines.pop(effect.line, None):
             line.end()
 
+    def _stop_pouring(self, line: int) -> None:
+        if self.pours and (task := self.pours.pop(line, None)):
+            task.cancel()
+
     def send(self, effect: fx.SendAttempt) -> None:
-        self._write(effect.line, stock_nodes.attempt_bytes(effect.errand, effect.time_left))
+        data = stock_nodes.attempt_bytes(effect.errand, effect.time_left)
+        if not effect.errand.more:
+            self._write(effect.line, data)
+            return
+        line = self.lines.get(effect.line)
+        body = self.clients.body(effect.order) if self.clients is not None else None
+        if line is not None and body is not None:
+            line.pouring = True
+            line.send(data)
+            if not line.over:
+                self.pours[effect.line] = self.loop.create_task(self._pour(effect, line, body))
+
+    async def _pour(self, effect: fx.SendAttempt, line: LineProtocol, body: StreamReader) -> None:
+        """The rest of a body, from its client to the stock node, no faster than either."""
+        chunked, sent = effect.errand.length is None, len(effect.errand.body)
+        try:
+            while True:
+                async with asyncio.timeout(BODY_STALL.total_seconds()):
+                    data = await body.readany()
+                if not data:
+                    break
+                sent += len(data)
+                if sent > MOST_LONG:
+                    self.report(BodyStalled(effect.order))
+                    return
+                async with asyncio.timeout(NODE_STALL.total_seconds()):
+                    await line.pour(stock_nodes.chunk(data) if chunked else data)
+            if chunked:
+                await line.pour(stock_nodes.LAST_CHUNK)
+            self.report(BodyEnded(effect.order))
+            line.poured()
+        except TimeoutError:
+            self.report(BodyStalled(effect.order))
+        except (OSError, ValueError, RuntimeError, ClientPayloadError):
+            self.report(BodyStalled(effect.order))  # the client's framing is no good, or a side has gone
+        finally:
+            self.pours.pop(effect.line, None)
 
     def _write(self, number: int, data: bytes) -> None:
         if line := self.lines.get(number):
@@ -152,7 +201,9 @@
     # --- the rest ------------------------------------------------------------------------------------------
     def _answer(self, effect: fx.AnswerClient) -> None:
         if self.clients is not None:
-            self.clients.answer(effect)
+            line = self.lines.get(effect.flow) if effect.flow else None
+            flow = line.flow if line is not None else None
+            self.clients.answer(effect, flow[1] if flow else None)
 
     def _close_client(self, effect: fx.CloseClient) -> None:
         if self.clients is not None:
--- a/opalgauge/wire/stock_nodes.py
+++ b/opalgauge/wire/stock_nodes.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from datetime import timedelta
 
-from opalgauge.memory.events import Errand, NodeAnswered
+from opalgauge.memory.events import AnswerFlows, Errand, NodeAnswered
 from opalgauge.wire.line import Reply
 from starlinggap.interface import End
 
@@ -16,14 +16,26 @@
 
 def attempt_bytes(errand: Errand, time_left: timedelta) -> bytes:
     """The client's own method, path, query, id and body; the time is what this attempt is given."""
-    length = f"Content-Length: {len(errand.body)}\r\n" if errand.body or errand.method != "GET" else ""
+    if errand.more and errand.length is None:
+        length, body = "Transfer-Encoding: chunked\r\n", chunk(errand.body)
+    else:
+        size, body = errand.length if errand.more else len(errand.body), errand.body
+        length = f"Content-Length: {size}\r\n" if size or errand.method != "GET" else ""
     kind = "".join(f"{name}: {value}\r\n" for name, value in errand.content)
     head = (
         f"{errand.method} {errand.target} HTTP/1.1\r\nHost: stock-node\r\n"
         f"X-Correlation-Id: {errand.correlation}\r\nX-Time-Left: {time_left.total_seconds():.3f}\r\n"
         f"{kind}{length}\r\n"
     )
-    return head.encode("utf-8", "surrogateescape") + errand.body
+    return head.encode("utf-8", "surrogateescape") + body
+
+
+def chunk(data: bytes) -> bytes:
+    """A part of a body whose length is not known; an empty one would end it."""
+    return b"%x\r\n%s\r\n" % (len(data), data) if data else b""
+
+
+LAST_CHUNK = b"0\r\n\r\n"
 
 
 def load_report(text: str) -> dict[str, float]:
@@ -48,6 +60,13 @@
     return NodeAnswered(line, End.ERROR, reply.keep, load=load)
 
 
+def understand_flow(line: int, reply: Reply, length: int | None) -> AnswerFlows:
+    """A good answer that is too long to be held."""
+    headers: Mapping[str, str] = reply.headers.headers
+    load = load_report(headers.get("X-Backend-Load", ""))
+    return AnswerFlows(line, headers.get("Content-Type", ""), length, load)
+
+
 def understand_probe(line: int, reply: Reply) -> NodeAnswered:
     if reply.status != 200:
         return NodeAnswered(line, End.FULL if reply.status == 503 else End.ERROR, reply.keep)
--- a/starlinggap/brain.py
+++ b/starlinggap/brain.py
@@ -133,7 +133,7 @@
     __slots__ = ("work", "server", "at", "kept", "out")
 
     def __init__(self, work: Work, server: int, at: float, kept: bool | None) -> None:
-        self.work, self.server, self.at, self.kept, self.out = work, server, at, kept, True
+        self.work, self.server, self.at, self.kept, self.out = work, server, at, kept, False
 
 
 class Work:
@@ -243,6 +243,10 @@
             elif isinstance(event, i.ClientGone):
                 if work := self.work.get(event.request):
                     self.close(work)
+            elif isinstance(event, i.Written):
+                if (work := self.work.get(event.request)) and event.attempt in work.live:
+                    work.deadline = self.now + work.request.budget
+                    self.launch(work, work.attempts[event.attempt])
             elif isinstance(event, i.StreamStarted):
                 if work := self.work.get(event.request):
                     work.streaming = True
@@ -648,16 +652,22 @@
         work.sent = True
         work.live[n := len(work.attempts)] = key
         work.attempts.append(attempt := Attempt(work, key, self.now, self.on_kept(key, server)))
-        self.sent[work.request.cls % len(self.sent)].append(attempt)
         work.customer.open += 1
-        self.out_count += 1
-        self.out_aims += 1 / work.aim
-        self.out_starts += self.now / work.aim
         if work.risky < 0:
             work.risky, work.risky_at = key, self.now
-        server.out[(work.id, n)] = self.now
+        server.out[(work.id, n)] = math.inf if work.request.coming else self.now
+        if not work.request.coming:
+            self.launch(work, attempt)
         self.actions.append(i.Send(work.id, key, work.deadline))
 
+    def launch(self, work: Work, attempt: Attempt) -> None:
+        """From here on it is timed, and counts as load."""
+        attempt.at, attempt.out = self.now, True
+        self.sent[work.request.cls % len(self.sent)].append(attempt)
+        self.out_count += 1
+        self.out_aims += 1 / work.aim
+        self.out_starts += self.now / work.aim
+
     def on_kept(self, key: int, server: Server) -> bool | None:
         """Whether the next attempt there uses a kept connection; None where it shares one in use.
         Guards against connections that died unseen while kept: all servers' are judged together, as one
--- a/starlinggap/interface.py
+++ b/starlinggap/interface.py
@@ -165,6 +165,7 @@
     # nobody but these can have spent its part of a ceiling.
     parts: int = 1
     held: float = math.inf
+    coming: bool = False  # its body still comes: it is timed from `Written`, when its attempt is whole
 
 
 @dataclass(frozen=True, slots=True)
@@ -190,6 +191,14 @@
     took: float
 
 
+@dataclass(frozen=True, slots=True)
+class Written:
+    """An attempt of a request whose body was still coming has been written whole."""
+
+    request: int
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class ClientGone:
     request: int
@@ -225,8 +234,8 @@
 
 
 Event = (
-    ServerList | Banned | Request | Outcome | StreamStarted | ClientGone | Probed | TimerFired | Counted
-    | PeerSaid
+    ServerList | Banned | Request | Outcome | StreamStarted | Written | ClientGone | Probed | TimerFired
+    | Counted | PeerSaid
 )
 
 
