Send an ejected node nothing while a sound one is only busy, and keep a returned node's listed start

A node back from staff was taken to have started at the call back, though the list had told its start 3 s before. Ruled out: ejections too late or too short (they stood), the nodes' own refusals (0), connections (15 of 9,000).

Change: ejected nodes are drawn only where no sound one was drawn at all; a ban keeps when it began, and a start that is listed since then counts.

--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -943,7 +943,7 @@
                 del marks[node]
         if mark.out:
             self._close_idle(mark.node)
-        self.news.append(i.Banned(mark.node, mark.out))
+        self.news.append(i.Banned(mark.node, mark.out, mark.at.timestamp()))
         self.out.append(fx.Log(f"maint: {mark.name} {'taken out' if mark.out else 'back in use'}"))
 
     # --- another process of this ingress -------------------------------------------------------------------
--- a/starlinggap/brain.py
+++ b/starlinggap/brain.py
@@ -193,7 +193,7 @@
         self.work: dict[int, Work] = {}
         self.servers: dict[int, Server] = {}
         self.ready: list[int] = []  # in the order of their ids; kept when the list changes
-        self.banned: set[int] = set()  # by staff, for as long as they say, listed or not
+        self.banned: dict[int, float] = {}  # by staff, and since when: until they say, listed or not
         self.untried: list[int] = []  # given back by staff, and not sent to since
         self.calls: dict[int, deque[Call]] = {}
         self.timers: dict[int, Call | None] = {}  # None: housekeeping
@@ -523,20 +523,20 @@
         self.list_ready()
 
     def list_ready(self) -> None:
-        fit = {k for k, v in self.servers.items() if v.entry.health is Health.READY}
-        self.ready = sorted(fit - self.banned)
+        up = {k for k, v in self.servers.items() if v.entry.health is Health.READY}
+        self.ready = sorted(up - self.banned.keys())
         self.untried = [k for k in self.untried if k in self.servers]
         self.unhold()
 
     def on_ban(self, event: i.Banned) -> None:
-        """What was believed of it before it was out is dropped. It is taken to have started just now: guards
-        a server that was restarted meanwhile against its warm share, as lists tell of a start late."""
+        """What was believed of it before is dropped. If no start since is listed, it is taken as now: guards
+        a server that was restarted meanwhile against its warm share, as lists tell of it late."""
         if event.out:
-            self.banned.add(event.server)
-        elif event.server in self.banned:
-            self.banned.discard(event.server)
+            self.banned[event.server] = event.at
+        elif (since := self.banned.pop(event.server, None)) is not None:
             if old := self.servers.get(event.server):
-                self.servers[event.server] = Server(old.entry, self.now, self.now)
+                back = self.now if old.entry.started < since else 0.0
+                self.servers[event.server] = Server(old.entry, self.now, back)
                 self.untried.append(event.server)
         self.list_ready()
 
@@ -577,21 +577,21 @@
         # Guards against servers that do less the more they hold; it could refuse where all work is long.
         most = work.cls.aim * QUEUE * (BEYOND_ROOM if work.beyond else 1.0)
         fit: list[tuple[int, Server]] = []
-        spared: list[tuple[int, Server]] = []  # ejected ones, where nothing else was drawn
+        # Ejected ones, if none is sound: what fails, and is quick to, has room for all that others have not.
+        spared, sound = list[tuple[int, Server]](), 0
         for n, key in enumerate(self.draw(ready)):
             server = self.servers[key]
             # Guards cold servers: each is sent only what it is drawn first for, never beside another.
-            cold = self.coldness(server) < 1
+            cold, ejected = self.coldness(server) < 1, server.ill.get(cls, [0.0, 0.0])[1] > self.now
             if cold and n or key in avoid or len(server.out) * self.slowness(server) * usual >= most:
+                sound += not ejected
                 continue
-            ejected = server.ill.get(cls, [0.0, 0.0])[1] > self.now
             if cold and not ejected:
                 return key
             (spared if ejected else fit).append((key, server))
             if len(fit) == 2:
                 break
-        fit = fit or spared[:2]
-        if not fit:
+        if not (fit := fit or spared[: 0 if sound else 2]):
             return None
         key, server = min(fit, key=lambda kv: (self.wait(kv[1], work), kv[0]))
         ill = server.ill.get(work.request.cls)
--- a/starlinggap/interface.py
+++ b/starlinggap/interface.py
@@ -146,6 +146,7 @@
 
     server: int
     out: bool
+    at: float = 0.0  # when they said so
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -99,7 +99,7 @@
         rig = Rig(decisions(cold=16.0, cold_from=0.15), servers=12)
         rig.at(5.0)
         rig.gateway.servers[3].ill = {0: [1.0, 1e9, 8.0]}
-        rig.give(i.Banned(3, True))
+        rig.give(i.Banned(3, True, rig.now))
         rig.give(i.Banned(3, False))
         rig.ask()
         assert rig.sends[-1].server == 3 and rig.gateway.avoided(rig.now) == 0
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -548,3 +548,17 @@
         assert rig.last() == final and rig.now == before
     if final == "refused":
         assert rig.refusals[-1].retry_after >= (rig.gateway.s.tick if counts else 0.02)
+
+
+def test_what_sound_servers_have_no_room_for_is_not_sent_to_one_that_fails() -> None:
+    # Guards against a server that is quick to fail: ejected, it still got nine attempts of ten in overload.
+    rig = Rig(settings(plans=(i.Plan(rate=1000.0, burst=1000.0),)), servers=2)
+    rig.at(5.0)
+    rig.gateway.servers[2].ill = {0: [1.0, 1e9, 8.0]}
+    while rig.ask(customer=rig.next) == "sent":
+        assert rig.next < 100
+    assert {send.server for send in rig.sends} == {1} and len(rig.sends) > 2
+    rig.gateway.servers[1].ill = {0: [1.0, 1e9, 8.0]}  # with all of them ejected, any is better than none
+    rig.gateway.servers[1].out.clear()
+    rig.gateway.shed = rig.gateway.out_aims = 0.0
+    assert rig.ask(customer=0) == "sent"
