--- a/opalgauge/lifecycle/config.py
+++ b/opalgauge/lifecycle/config.py
@@ -22,6 +22,7 @@
 # Where the list must be asked for, a question that is given up has taken a turn from all ingresses.
 LIST_ASKED = timedelta(seconds=20)  # a watch waits so long there
 LIST_TURN = timedelta(milliseconds=100)  # for each ingress: the node list was seen to tell 6 to 12 a second
+STREAM_SHARE, STREAM_MB = 0.5, 0.45  # of the memory, for long bodies; what one of them holds of it at most
 SPARE_SOCKETS = 48  # listener, node list, quota counter, standard streams and the loop's own
 
 
@@ -81,6 +82,7 @@
         # for stock nodes.
         most_clients = max(16, sockets // 2)
         most_lines = max(16, sockets - most_clients - SPARE_SOCKETS)
+        memory = float(told.get("limits", {}).get("memory_mb", 192))
         ceilings = told_settings.get("ceilings", {})
         house = House(
             settings=settings,
@@ -99,6 +101,7 @@
             most_orders=max(16, min(int(ceilings.get("max_open", 20000)), most_clients)),
             most_clients=most_clients,
             crowd=most_clients // CROWD,
+            most_streams=max(8, int(memory * STREAM_SHARE / STREAM_MB)),
         )
         if settings.list_on_request:
             house = replace(house, list_wait=LIST_ASKED, list_turn=LIST_TURN * settings.gateways)
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -200,7 +200,7 @@
         """Enters an order and its guard; gives the time that the decisions have, or None: turned away."""
         house, books = self.house, self.books
         first = self._unquiet(event.client)
-        if len(books.orders) >= house.most_orders:
+        if len(books.orders) >= house.most_orders or event.errand.more and self._streams_full():
             # Guards against a crowd of clients taking all memory; nothing has run, so a repeat is harmless.
             retry = timedelta(seconds=house.settings.max_retry_after)
             books.tally.dropped[event.kind] += 1
@@ -640,7 +640,8 @@
         if line is None:
             return
         attempt, line.begun = line.attempt, None
-        if attempt is None or attempt.probe or attempt.order not in self.books.orders:
+        if attempt is None or attempt.probe or attempt.order not in self.books.orders or self._streams_full():
+            # Guards the memory, too: one more long answer than it holds fails, before all of them do.
             self._close_line(line)
             self._lost(line, ev.Reached.ANSWERING)
             return
@@ -671,6 +672,10 @@
             if books.asking.pop(flow.client, None) is not None:
                 self._keep(flow.client)
 
+    def _streams_full(self) -> bool:
+        bodies = sum(order.coming is not None for order in self.books.orders.values())
+        return len(self.books.flows) + bodies >= self.house.most_streams
+
     def _cut(self, flow: Flow) -> None:
         """Nobody waits for the rest of a long answer, if there is one."""
         line = self.books.lines.get(flow.line)
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -129,7 +129,7 @@
     def data_received(self, data: bytes) -> None:
         super().data_received(data)
         waiter = self._waiter
-        if waiter is not None and not waiter.done() and not self._messages and self._manager is not None:
+        if data and waiter is not None and not waiter.done() and self._manager is not None:
             self._manager.begun(self)  # type: ignore[attr-defined]
 
 
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -216,3 +216,29 @@
                 writer.close()
 
     asyncio.run(scene())
+
+
+def test_the_door_answers_within_a_turn_of_a_pressed_loop() -> None:
+    async def scene() -> None:
+        async with town_with(lambda r, w: town.OK) as (ingress, _, __):
+            clients, each, answered = 40, 20, 0
+
+            async def client(me: int) -> None:
+                nonlocal answered
+                reader, writer = await asyncio.open_connection(*ingress.address)
+                asks = (town.request("GET", "/stock-check", name=f"{me}-{n}") for n in range(each))
+                writer.write(b"".join(asks))
+                for _ in range(each):
+                    await town.read_request(reader)
+                    answered += 1
+                writer.close()
+
+            asking = [asyncio.create_task(client(me)) for me in range(clients)]
+            while answered < 20:
+                await asyncio.sleep(0)
+            for _ in range(3):
+                assert (await ingress.call(b"stats\n")).endswith(b"EOF\n")
+            assert answered < clients * each  # it did not wait for what was there before it
+            await asyncio.gather(*asking)
+
+    asyncio.run(scene())
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -18,6 +18,7 @@
 EFFECT = "return work.cls.effect is Effect.KEYED and "
 GUARDS = {
     "drain": ("if v.entry.health is Health.READY}", "}", "drains"),
+    "ban": ("up - self.banned.keys()", "up", "staff"),
     "unsafe repeat": (EFFECT + "self.now + self.s.tick", "return self.now", "unsafe"),
     "window": ("< work.risky_at + work.cls.window", "< math.inf", "after the window"),
     "group": ("ready = [k for k in ready if self.same_group(work, k)]", "pass", "outside the group"),
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -80,6 +80,8 @@
                 assert (await old.call(b"maint-on s-1\n")).startswith(b"200")
                 async with town.ingress(node_at, quota_at, list_at, listener, scratch) as new:
                     assert (await new.call(b"stats\n")).find(b"skipped_backends=1") > 0
+                    for process in (old, new):  # a new configuration in the overlap, at either
+                        await process.reconfigure()
                     old.process.send_signal(signal.SIGTERM)
                     assert (await new.call(b"maint-off s-1\n")).startswith(b"200")
                     assert await asyncio.wait_for(old.process.wait(), 20) == 0
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -292,3 +292,21 @@
         assert desk.attempt().line == line
         desk.step(ev.FlowOver(order, True))
         assert fx.CloseLine(line) not in desk.out and sum(desk.reducer.figures().passed) == 1
+
+    def test_one_long_body_more_than_memory_holds_is_turned_away_and_the_others_go_on(self) -> None:
+        desk = Desk(most_streams=2)
+        first = self.coming(desk)
+        desk.admit(CHECK)
+        line = desk.attempt().line
+        desk.step(ev.AnswerFlows(line, "", None, {}))
+        errand = ev.Errand("POST", "/place-order", "one-more", (), b"x", True, 100)
+        left = timedelta(seconds=2)
+        desk.step(ev.OrderTaken(99, errand, PLACE, 0, 9, left, 1, 2, 0, False, 99))
+        assert desk.answers[-1].status == 429 and desk.answers[-1].retry_after
+        desk.admit(CHECK)
+        desk.step(ev.AnswerFlows(desk.attempt().line, "", None, {}))
+        assert len(desk.reducer.books.flows) == 1
+        desk.step(ev.BodyEnded(first))
+        desk.admit(CHECK)
+        desk.step(ev.AnswerFlows(desk.attempt().line, "", None, {}))
+        assert len(desk.reducer.books.flows) == 2 and fx.CloseLine(line) not in desk.out
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 from collections.abc import Callable
 from dataclasses import replace
@@ -11,7 +12,7 @@
 from hypothesis import settings as hyp
 from hypothesis import strategies as st
 
-from starlinggap import Gateway
+from starlinggap import Gateway, snapshot
 from starlinggap import interface as i
 from tests.rig import entry, settings
 
@@ -41,6 +42,8 @@
         self.open: dict[int, tuple[i.Request, float]] = {}  # what still needs an answer, until when
         self.answered: set[int] = set()
         self.tries: dict[int, list[tuple[int, float, str]]] = {}  # server, time, out / safe / maybe
+        self.whim = random.Random(seed + 1)  # of staff
+        self.out: list[set[int]] = [set() for _ in range(gateways)]  # what staff took out of use
         self.room, self.room_at = CEILING.ceiling_burst, 0.0
         self.totals: dict[int, float] = {}
         self.sent = 0
@@ -67,6 +70,10 @@
                 for g in range(len(self.gates)):
                     change = entry(server, cell=server % 2, health=self.health[server])
                     self.later(0.0, g, i.ServerList(i.ListKind.CHANGES, (change,)))
+            if self.whim.random() < 0.05:
+                ban = i.Banned(self.whim.choice(list(self.health)), self.whim.random() < 0.4, self.now)
+                for g in range(len(self.gates)):
+                    self.later(0.0, g, ban)
             self.step(0.02)
         for _ in range(150):
             self.step(0.02)
@@ -83,6 +90,8 @@
                 self.open[event.request] = (event, self.now + event.budget)
             if isinstance(event, i.ServerList):
                 self.told[gate].update({e.server: e.health for e in event.entries})
+            if isinstance(event, i.Banned):
+                (self.out[gate].add if event.out else self.out[gate].discard)(event.server)
             if isinstance(event, i.Outcome):
                 event = self.outcome(event)
             for action in self.gates[gate].handle(self.now, [event]):
@@ -127,6 +136,7 @@
         self.sent += 1
         assert a.request in self.open, "sent after its answer"
         assert self.told[gate][a.server] is i.Health.READY, "sent to a server that drains or is gone"
+        assert a.server not in self.out[gate], "sent to a server that staff took out"
         ask = self.open[a.request][0]
         cls, before = self.s.classes[ask.cls], self.tries.setdefault(a.request, [])
         assert self.s.parallel or all(t[2] != "out" for t in before), "two attempts out at once"
@@ -182,7 +192,7 @@
     world.gates[0] = Gateway(replace(s, me=0), 99)
     world.queue = [e for e in world.queue if e[2] != 0]
     world.gates[0].handle(world.now, [i.ServerList(i.ListKind.WHOLE, tuple(entry(n) for n in world.health))])
-    world.told[0] = {n: i.Health.READY for n in world.health}
+    world.told[0], world.out[0] = {n: i.Health.READY for n in world.health}, set()
     for n in range(1000, 1020):
         ask = i.Request(n, 0, 0, 5, 1.0, 4.0, 2)
         world.later(0.0, 0, ask)
@@ -190,6 +200,25 @@
     assert world.room >= -CEILING.ceiling_slack
 
 
+@pytest.mark.parametrize("counter", COUNTERS)
+def test_ceiling_holds_while_an_old_and_a_new_process_serve_side_by_side(counter: str) -> None:
+    s = settings(classes=CLASSES[:1], plans=(CEILING,), gateways=2)
+    world = World(4, 2, counter, s)
+    world.run(40)
+    new = Gateway(replace(s, me=0), 99)
+    lines = tuple(entry(n, health=health) for n, health in world.told[0].items())
+    new.handle(world.now, [i.ServerList(i.ListKind.WHOLE, lines), *(i.Banned(n, True) for n in world.out[0])])
+    snapshot.give(new, json.loads(json.dumps(snapshot.take(world.gates[0]))), world.now)
+    world.gates.append(new)
+    world.told.append(dict(world.told[0]))
+    world.out.append(set(world.out[0]))
+    for n in range(1000, 1060):  # the third gate is the first's successor: together they are one of two
+        gate = n % 3
+        world.later(0.0, gate, i.Request(n, 0, 0, 5, 1.0, 4.0, 2, parts=1 if gate == 1 else 2))
+        world.step(0.005)
+    assert world.room >= -CEILING.ceiling_slack
+
+
 def test_nothing_is_sent_to_a_server_in_the_batch_that_drains_it() -> None:
     gateway = Gateway(settings(counter=False), 1)
     gateway.handle(0.0, [i.ServerList(i.ListKind.WHOLE, (entry(1), entry(2)))])
