Say the limits of stalled bodies, an answer's last moment and a kept line's fate once

Need: reading the change again. Behaviour stays as it is.

Change: the time after which a client or a stock node has stopped in the middle of a body stood in wire/clients and in wire/exchange, as seconds and as spans; exchange now takes that of clients. When the guard answers is worked out in one place for whole bodies and for those that come (Reducer._answer_by), and so is whether a connection is kept after a whole answer (Reducer._rest_or_close). Looked at and left: the pairs of like shape between events, effects and the door's words are definitions of small records, not shared logic.

Checked: ./check, 359 passed (107 s).

--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -215,7 +215,7 @@
         kind = house.settings.classes[event.kind]
         # Guards against clients that claim to wait for an hour: nobody waits longer than a kind's deadline.
         time_left = min(event.time_left, timedelta(seconds=kind.deadline))
-        answer_by = self.now + max(time_left - house.guard_margin, time_left / 2)
+        answer_by = self._answer_by(time_left)
         budget = max(time_left - house.answer_margin, time_left / 4)
         more = event.errand.more
         if more:  # a request is timed from its last byte
@@ -229,6 +229,10 @@
         self._at(answer_by, self._overdue, event.order)
         return budget
 
+    def _answer_by(self, left: timedelta) -> datetime:
+        """When the guard answers in place of decisions that have not, for a client that waits so long yet."""
+        return self.now + max(left - self.house.guard_margin, left / 2)
+
     def _client_came(self, event: ev.ClientCame) -> None:
         books, house = self.books, self.house
         quiet_ones = len(books.silent) + len(books.arriving) + len(books.bodies)
@@ -291,7 +295,7 @@
         order = self.books.orders.get(event.order)
         if order is not None and order.coming is not None:
             left, order.coming = order.coming, None
-            order.answer_by = self.now + max(left - self.house.guard_margin, left / 2)
+            order.answer_by = self._answer_by(left)
             self._at(order.answer_by, self._overdue, event.order)
 
     def _body_stalled(self, event: ev.BodyStalled) -> None:
@@ -624,10 +628,7 @@
         if line is None:
             return
         attempt, line.begun = line.attempt, None
-        if event.keep and attempt is not None and line.node in self.books.nodes and not self._out(line.node):
-            self._rest(line)
-        else:
-            self._close_line(line)
+        self._rest_or_close(line, event.keep and attempt is not None)
         if attempt is None:
             return
         if event.end is i.End.OK and not attempt.probe:
@@ -659,10 +660,7 @@
         if flow := self.books.flows.get(line.flow):
             flow.line = 0
         line.flow = 0
-        if event.keep and line.node in self.books.nodes and not self._out(line.node):
-            self._rest(line)
-        else:
-            self._close_line(line)
+        self._rest_or_close(line, event.keep)
 
     def _flow_over(self, event: ev.FlowOver) -> None:
         books = self.books
@@ -682,9 +680,13 @@
         if line is not None and line.flow == flow.order:
             self._close_line(line)
 
-    def _out(self, node: int) -> bool:
-        mark = self.books.marks.get(node)
-        return mark is not None and mark.out
+    def _rest_or_close(self, line: Line, keep: bool) -> None:
+        """A connection whose answer is whole: kept for the next attempt, unless its node gets none."""
+        mark = self.books.marks.get(line.node)
+        if keep and line.node in self.books.nodes and not (mark is not None and mark.out):
+            self._rest(line)
+        else:
+            self._close_line(line)
 
     # --- quota counter -------------------------------------------------------------------------------------
     def _count(self, action: i.Count) -> None:
--- a/opalgauge/wire/exchange.py
+++ b/opalgauge/wire/exchange.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from datetime import datetime, timedelta
+from datetime import datetime
 from typing import Any
 
 from aiohttp import ClientPayloadError, StreamReader
@@ -14,12 +14,10 @@
 from opalgauge.memory.events import BodyEnded, BodyStalled, Event, LineEnded, LineStale, Reached, Woken
 from opalgauge.memory.reducer import Reducer
 from opalgauge.wire import quota_counter, stock_nodes
-from opalgauge.wire.clients import Clients
+from opalgauge.wire.clients import BODY_STALL, NODE_STALL, Clients
 from opalgauge.wire.line import MOST_BODY, MOST_LIST, MOST_LONG, MOST_TOTAL, LineProtocol, Reply, Understand
 from opalgauge.wire.node_list import NodeListReader, question_bytes
 
-BODY_STALL = timedelta(milliseconds=2200)  # a client that sends nothing of its body for so long has stopped
-NODE_STALL = timedelta(seconds=5)  # a stock node that takes nothing of it for so long has
 MOST_FAULTS = 20  # log lines: a defect that shows at every order must not fill the disk
 
 
@@ -163,7 +161,7 @@
         chunked, sent = effect.errand.length is None, len(effect.errand.body)
         try:
             while True:
-                async with asyncio.timeout(BODY_STALL.total_seconds()):
+                async with asyncio.timeout(BODY_STALL):
                     data = await body.readany()
                 if not data:
                     break
@@ -171,7 +169,7 @@
                 if sent > MOST_LONG:
                     self.report(BodyStalled(effect.order))
                     return
-                async with asyncio.timeout(NODE_STALL.total_seconds()):
+                async with asyncio.timeout(NODE_STALL):
                     await line.pour(stock_nodes.chunk(data) if chunked else data)
             if chunked:
                 await line.pour(stock_nodes.LAST_CHUNK)
