--- a/opalgauge/cores/worker.py
+++ b/opalgauge/cores/worker.py
@@ -234,7 +234,7 @@
         until = time.monotonic_ns() + t.time_left // timedelta(microseconds=1) * 1000
         link.say(
             sp.Pass(
-                t.order, place[1], place[2], until, e.method, e.target, e.correlation, list(e.content),
+                t.order, place[1], place[2], until, e.method, e.target, e.correlation, list(e.passed),
                 e.body, t.kind, t.tariff, t.account, t.units, t.spread, t.first, t.repeat,
             )
         )  # fmt: skip
@@ -264,8 +264,8 @@
         self.foreign[number] = link, p.order
         self.by_link[link.peer, link.life, p.order] = number
         self.marks[number] = p.slot, p.tag
-        content = tuple((name, value) for name, value in p.content)
-        errand = ev.Errand(p.method, p.target, p.correlation, content, p.body)
+        passed = tuple((name, value) for name, value in p.content)
+        errand = ev.Errand(p.method, p.target, p.correlation, passed, p.body)
         event = ev.OrderTaken(
             number, errand, p.kind, p.tariff, p.account, max(left, timedelta(milliseconds=1)), p.units,
             p.spread, p.first, p.repeat, number,
--- a/opalgauge/memory/events.py
+++ b/opalgauge/memory/events.py
@@ -35,7 +35,7 @@
     method: str
     target: str
     correlation: str
-    content: tuple[tuple[str, str], ...]  # the headers that describe the body
+    passed: tuple[tuple[str, str], ...]  # the client's headers that go on unchanged: the body's kind, its key
     body: bytes  # whole, or its beginning where `more` is to come
     more: bool = False
     length: int | None = None  # of a body with more to come, where its client has told
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -37,7 +37,8 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MOST_ACCOUNT = 2**33
 LONGEST = 3600.0  # s: nobody waits longer for an answer
-CONTENT = ("Content-Type", "Content-Encoding")  # what says how a body is to be read goes with it
+# What says how a body is to be read goes with it, and so does the key by which stock nodes know a repeat.
+PASSED = ("Content-Type", "Content-Encoding", "Idempotency-Key")
 PLAIN = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 IDENTITY = re.compile(r"[!-~]{1,128}")  # visible ASCII
 ACCOUNT = re.compile(r"(?:^|;)\s*customer=([0-9a-fA-F]{1,16})\s*(?:;|$)")
@@ -113,8 +114,8 @@
     account_number = int(account[1], 16)
     if not 0 < left <= LONGEST or account_number >= MOST_ACCOUNT:
         raise Malformed(400, "time left or account out of range")
-    content = tuple((name, headers[name]) for name in CONTENT if name in headers)
-    errand = Errand(request.method, target, correlation, content, body)
+    passed = tuple((name, headers[name]) for name in PASSED if name in headers)
+    errand = Errand(request.method, target, correlation, passed, body)
     return OrderTaken(
         number, errand, kind[0], tariff, account_number, timedelta(seconds=left), units, spread, first,
         headers.get("X-Repeat") == "1", client,
--- a/opalgauge/wire/stock_nodes.py
+++ b/opalgauge/wire/stock_nodes.py
@@ -15,13 +15,13 @@
 
 
 def attempt_bytes(errand: Errand, time_left: timedelta) -> bytes:
-    """The client's own method, path, query, id and body; the time is what this attempt is given."""
+    """The client's own method, path, query, id, key and body; the time is what this attempt is given."""
     if errand.more and errand.length is None:
         length, body = "Transfer-Encoding: chunked\r\n", chunk(errand.body)
     else:
         size, body = errand.length if errand.more else len(errand.body), errand.body
         length = f"Content-Length: {size}\r\n" if size or errand.method != "GET" else ""
-    kind = "".join(f"{name}: {value}\r\n" for name, value in errand.content)
+    kind = "".join(f"{name}: {value}\r\n" for name, value in errand.passed)
     head = (
         f"{errand.method} {errand.target} HTTP/1.1\r\nHost: stock-node\r\n"
         f"X-Correlation-Id: {errand.correlation}\r\nX-Time-Left: {time_left.total_seconds():.3f}\r\n"
--- a/tests/test_wire_words.py
+++ b/tests/test_wire_words.py
@@ -143,3 +143,21 @@
 def test_the_response_parser_is_the_compiled_one() -> None:
     # Guards the hot path: without its extension aiohttp falls back to a parser many times slower.
     assert HttpResponseParser.__module__ == "aiohttp._http_parser"
+
+
+def test_a_keyed_order_reaches_the_stock_node_with_its_key() -> None:
+    from aiohttp.test_utils import make_mocked_request
+
+    from opalgauge.wire.clients import Trade, read_order
+
+    trade = Trade([("view-sub", True), ("place-order", False)], ["starter"], 6.0, 3)
+    request = make_mocked_request(
+        "POST", "/place-order/7?x=1",
+        headers={
+            "X-Correlation-Id": "9b1f", "X-Tier": "starter", "Cookie": "customer=00000000b4d65521",
+            "X-Time-Left": "0.480", "Idempotency-Key": "5c0f6e1a", "X-Call-Terms": "units=2,spread=3,first=1",
+        },
+    )  # fmt: skip
+    order = read_order(request, 1, 1, b"{}", trade)
+    sent = stock_nodes.attempt_bytes(order.errand, timedelta(milliseconds=400))
+    assert b"\r\nIdempotency-Key: 5c0f6e1a\r\n" in sent and sent.startswith(b"POST /place-order/7?x=1 ")
