--- a/starlinggap/brain.py
+++ b/starlinggap/brain.py
@@ -190,8 +190,7 @@
         self.now, self.actions = 0.0, list[Action]()
         self.born = math.inf  # when the first events came: nothing was sent on in this life before
         self.customers: OrderedDict[int, Customer] = OrderedDict()
-        self.work: dict[int, Work] = {}
-        self.servers: dict[int, Server] = {}
+        self.work, self.servers = dict[int, Work](), dict[int, Server]()
         self.ready: list[int] = []  # in the order of their ids; kept when the list changes
         self.banned: dict[int, float] = {}  # by staff, and since when: until they say, listed or not
         self.untried: list[int] = []  # given back by staff, and not sent to since
@@ -604,6 +603,7 @@
         stands beside a whole one: so all gateways together, many or few, even or not, send it that part of
         what each warm one gets, however many are cold. By rejection: the cost does not grow with servers."""
         drawn = self.rng.sample(ready, min(DRAWN, len(ready)))
+        drawn.sort(key=lambda k: self.s.cross_zone_price > 0 and self.servers[k].entry.zone != self.s.zone)
         for back in self.untried:  # guards against a gateway of few requests that would not meet it for long
             if back in ready:
                 return [back, *(k for k in drawn if k != back)]
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -562,3 +562,18 @@
     rig.gateway.servers[1].out.clear()
     rig.gateway.shed = rig.gateway.out_aims = 0.0
     assert rig.ask(customer=0) == "sent"
+
+
+@pytest.mark.parametrize("price", [0.02, 0.0])
+def test_a_priced_crossing_of_halls_is_made_only_where_the_own_hall_has_no_room(price: float) -> None:
+    rig = Rig(free(zone=1, cross_zone_price=price), servers=0)
+    rig.give(i.ServerList(i.ListKind.WHOLE, tuple(entry(n, zone=n % 3) for n in range(1, 10))))
+    for _ in range(90):  # light: one at a time
+        rig.at(rig.now + 0.05)
+        serve(rig)
+    own = sum(s.server % 3 == 1 for s in rig.sends) / len(rig.sends)
+    assert own > 0.9 if price else 0.2 < own < 0.5
+    # Busy: what the own hall has no room for goes to the others, and nothing is refused.
+    verdicts = [rig.ask(customer=500 + n) for n in range(24)]
+    crossed = {s.server % 3 for s in rig.sends[-verdicts.count("sent") :]}
+    assert verdicts.count("sent") == 24 and crossed == {0, 1, 2}
