--- a/opalgauge/lifecycle/directives.py
+++ b/opalgauge/lifecycle/directives.py
@@ -80,7 +80,9 @@
     "kind": Directive(
         (w.name,), about="a kind of request", many=True, trade=True,
         options={
-            "repeat": Option(w.one_of("safe", "never"), needed=True),
+            "repeat": Option(w.one_of("safe", "keyed", "never"), needed=True),
+            "window": Option(w.span, timedelta(0)),  # keyed: how long stock nodes drop a repeat
+            "among": Option(w.one_of("all", "site"), "all"),  # keyed: which stock nodes drop it together
             "aim": Option(w.some_span, needed=True),
             "deadline": Option(w.some_span, needed=True),
             "worth": Option(w.number, 1.0),
@@ -101,6 +103,10 @@
             "ceiling-slack": Option(w.number, 0.0),
         },
     ),
+    "cross-site-price": Directive(
+        (w.number,), 0.0, "a request that crosses sites costs so much; above 0, the own site comes first",
+        trade=True,
+    ),
     "most-units": Directive((w.number,), 1.0, "units that one request may take", trade=True),
     "tries": Directive((w.positive,), 4, "attempts at the stock nodes for one request", trade=True),
     "most-retry-after": Directive((w.some_span,), timedelta(seconds=1), "longest Retry-After", trade=True),
--- a/opalgauge/lifecycle/settings.py
+++ b/opalgauge/lifecycle/settings.py
@@ -213,6 +213,10 @@
     return s.rows[name][0].where if name in s.rows else s.path
 
 
+# The platform's words for the repeat rules of the settings file.
+EFFECTS = {"safe": "retryable", "keyed": "dedup", "never": "fragile"}
+
+
 def _seconds(value: timedelta) -> float:
     return value.total_seconds()
 
@@ -243,7 +247,8 @@
                     "name": r.values[0], "aim": _seconds(r.options["aim"]),
                     "deadline": _seconds(r.options["deadline"]), "credit": r.options["worth"],
                     "late_value": r.options["late-worth"],
-                    "effect": "retryable" if r.options["repeat"] == "safe" else "fragile",
+                    "effect": EFFECTS[r.options["repeat"]], "window": _seconds(r.options["window"]),
+                    "group": "zone" if r.options["among"] == "site" else "all",
                 }
                 for r in s.many("kind")
             ],
@@ -272,6 +277,7 @@
                 "fall": _seconds(s.get("fall")), "fall_multiple": s.get("fall-multiple"),
                 "stop_sending_within": _seconds(s.get("drain-grace")),
             },
+            "prices": {"cross_zone": s.get("cross-site-price")},
             "load_info": {"fields": ["svc_ms", "busy_reqs", "cpu_share"]},
         },
     }  # fmt: skip
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -130,6 +130,8 @@
 
 def test_the_examples_under_deploy_can_be_used() -> None:
     make_config(FileSource(str(town.ROOT / "deploy" / "opalgauge.conf")).read().told, {})
+    halls = make_config(FileSource(str(town.ROOT / "deploy" / "three-halls.conf")).read().told, {})
+    assert halls.zones == ("hall-a", "hall-b", "hall-c") and halls.house.settings.cross_zone_price > 0
     assert s.parse(town.ROOT / "deploy" / "on-platform.conf").get("workers") == 2
     with pytest.raises(ConfigError):
         FileSource(str(town.ROOT / "deploy" / "none.conf")).read()
@@ -212,3 +214,15 @@
     ).stdout.split()
     heavy = ("click", "structlog", "hdrh", "opalgauge.cli", "opalgauge.cores", "opalgauge.lifecycle.settings")
     assert not [m for m in loaded if m.startswith(heavy)]
+
+
+def test_a_keyed_kind_and_a_price_for_crossing_sites_reach_the_decisions() -> None:
+    from starlinggap import interface as i
+
+    text = GOOD + "sites hall-a hall-b\nsite hall-b\ncross-site-price 0.02\n"
+    text += "kind add-order repeat=keyed window=3s among=site aim=1200ms deadline=5s worth=5\n"
+    config = make_config(s.as_told(parse(text)), {})
+    keyed, never = config.house.settings.classes[2], config.house.settings.classes[1]
+    assert (keyed.effect, keyed.group, keyed.window) == (i.Effect.KEYED, i.Group.ZONE, 3.0)
+    assert never.effect is i.Effect.UNSAFE and config.house.settings.cross_zone_price == 0.02
+    assert config.house.settings.zone == 1 and config.trade.kinds["add-order"] == (2, "POST")
