--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -20,6 +20,7 @@
     i.RequestClass(aim=0.4, deadline=1.0),
     i.RequestClass(aim=0.4, deadline=1.0, effect=i.Effect.KEYED, group=i.Group.CELL, window=0.3),
     i.RequestClass(aim=0.4, deadline=1.0, effect=i.Effect.KEYED, group=i.Group.ALL, window=0.3),
+    i.RequestClass(aim=0.4, deadline=1.0, effect=i.Effect.KEYED, group=i.Group.ZONE, window=0.3),
     i.RequestClass(aim=0.4, deadline=1.0, effect=i.Effect.UNSAFE, window=0.3),
 )
 CEILING = i.Plan(rate=4.0, burst=16.0, ceiling_rate=6.0, ceiling_burst=24.0, ceiling_slack=4.0,
@@ -34,7 +35,8 @@
     def __init__(self, seed: int, gateways: int, counter: str, s: i.Settings,
                  make: Callable[[i.Settings, int], Gateway] = Gateway) -> None:  # fmt: skip
         self.rng, self.s, self.counter, self.now = random.Random(seed), s, counter, 0.0
-        self.gates = [make(replace(s, me=n), n) for n in range(gateways)]
+        # Three halls, the gateways spread over them; the servers of a hall drop a keyed repeat together.
+        self.gates = [make(replace(s, me=n, zone=n % 3), n) for n in range(gateways)]
         self.queue: list[tuple[float, int, int, i.Event]] = []
         self.serial = 0
         self.health = {n: i.Health.READY for n in range(1, 7)}
@@ -48,7 +50,7 @@
         self.totals: dict[int, float] = {}
         self.sent = 0
         for g in range(gateways):
-            lines = tuple(entry(n, cell=n % 2) for n in self.health)
+            lines = tuple(entry(n, cell=n % 2, zone=n % 3) for n in self.health)
             self.later(0.0, g, i.ServerList(i.ListKind.WHOLE, lines))
 
     def later(self, after: float, gate: int, event: i.Event) -> None:
@@ -68,7 +70,7 @@
                 server = self.rng.choice(list(self.health))
                 self.health[server] = self.rng.choice(list(i.Health))
                 for g in range(len(self.gates)):
-                    change = entry(server, cell=server % 2, health=self.health[server])
+                    change = entry(server, cell=server % 2, zone=server % 3, health=self.health[server])
                     self.later(0.0, g, i.ServerList(i.ListKind.CHANGES, (change,)))
             if self.whim.random() < 0.05:
                 ban = i.Banned(self.whim.choice(list(self.health)), self.whim.random() < 0.4, self.now)
@@ -146,6 +148,8 @@
             assert self.now <= risky[0][1] + cls.window, "sent again after the window"
             if cls.group is i.Group.CELL:
                 assert a.server % 2 == risky[0][0] % 2, "sent again outside the group"
+            if cls.group is i.Group.ZONE:
+                assert a.server % 3 == risky[0][0] % 3, "sent again outside the hall"
         if not before and self.s.plans[0].ceiling_rate:
             filled = self.room + self.s.plans[0].ceiling_rate * (self.now - self.room_at)
             self.room, self.room_at = min(CEILING.ceiling_burst, filled) - ask.units, self.now
@@ -178,7 +182,7 @@
 @given(st.integers(0, 10**6), st.integers(1, 3), st.sampled_from(COUNTERS), st.booleans(), st.booleans())
 def test_rules_hold_in_any_trouble(seed: int, gates: int, counter: str, parallel: bool, cancel: bool) -> None:
     s = settings(classes=CLASSES, plans=(CEILING,), gateways=gates, parallel=parallel, cancel=cancel,
-                 max_attempts=4)  # fmt: skip
+                 max_attempts=4, cross_zone_price=0.02)  # fmt: skip
     world = World(seed, gates, counter, s)
     world.run(120)
     assert world.sent > 0
