--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -21,7 +21,7 @@
     "ban": ("up - self.banned.keys()", "up", "staff"),
     "unsafe repeat": (EFFECT + "self.now + self.s.tick", "return self.now", "unsafe"),
     "window": ("< work.risky_at + work.cls.window", "< math.inf", "after the window"),
-    "group": ("ready = [k for k in ready if self.same_group(work, k)]", "pass", "outside the group"),
+    "group": ("ready = [k for k in ready if self.same_group(work, k)]", "pass", "sent again outside the"),
     "refusal": (EFFECT + "work.cls.group is Group.ALL", "return True", "refused"),
     "ceiling": ("(not work.ceiled or c.room >= need)", "True", "ceiling"),
     "patience": ("request.budget / 2 - s.tick", "1.0", "overdue"),
