Import at the top what two new tests imported inside themselves

Need: on reading the change again, the tests of the passed key and of keyed kinds in the settings file imported inside their bodies, unlike every other test of those files. Change: the imports stand at the top; the tests and their assertions are the same. ./check passes.

--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -21,6 +21,7 @@
 from opalgauge.lifecycle.config import ConfigError, make_config
 from opalgauge.lifecycle.directives import DIRECTIVES
 from opalgauge.lifecycle.sources import FileSource
+from starlinggap import interface as i
 from tests import town
 
 GOOD = """
@@ -217,8 +218,6 @@
 
 
 def test_a_keyed_kind_and_a_price_for_crossing_sites_reach_the_decisions() -> None:
-    from starlinggap import interface as i
-
     text = GOOD + "sites hall-a hall-b\nsite hall-b\ncross-site-price 0.02\n"
     text += "kind add-order repeat=keyed window=3s among=site aim=1200ms deadline=5s worth=5\n"
     config = make_config(s.as_told(parse(text)), {})
--- a/tests/test_wire_words.py
+++ b/tests/test_wire_words.py
@@ -8,10 +8,12 @@
 
 import pytest
 from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
+from aiohttp.test_utils import make_mocked_request
 
 from opalgauge.lifecycle.config import ConfigError, flatten, make_config
 from opalgauge.memory.events import Errand
 from opalgauge.wire import quota_counter, stock_nodes
+from opalgauge.wire.clients import Trade, read_order
 from opalgauge.wire.line import Reply
 from opalgauge.wire.node_list import NodeListReader, node_number, question_bytes
 from starlinggap import interface as i
@@ -146,10 +148,6 @@
 
 
 def test_a_keyed_order_reaches_the_stock_node_with_its_key() -> None:
-    from aiohttp.test_utils import make_mocked_request
-
-    from opalgauge.wire.clients import Trade, read_order
-
     trade = Trade([("view-sub", True), ("place-order", False)], ["starter"], 6.0, 3)
     request = make_mocked_request(
         "POST", "/place-order/7?x=1",
