Settle in the reducer what crosses a connection to a stock node as it comes up or rests

At fault, all in memory/reducer.py: - _rest put a connection back at once and _carry took the newest: a second answer some ms late was taken for the next request's. A connection now settles for 25 ms behind its answer (House.settling). - _line_up wrote whatever had been decided, a dial later: to a node told draining, gone, restarted, moved or taken out meanwhile (with a grace of 250 ms and a dial of 400 it is past the grace). _drop_dials gives such dials up when the list or staff have spoken; the decisions choose again. - _write looked at the order alone: a keyed repeat could be written after its window, the dial in between. Order.repeat_by holds the end of that time, and an UNSAFE order that may have run is never written again. - where calling off is not allowed, a connection that came up after its client had left stayed busy to the end of the attempt's time (_write did nothing). It rests now, and the attempt is told as not sent. - _rest_or_close kept a connection to a process that was replaced while it answered. Line.process says to whom.

Four older tests let 25 ms pass before they expect a connection to be used again.

--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -403,8 +403,8 @@
             # Guards against an attempt for what is over: the decisions hear that it was not sent.
             self._ended(attempt, i.End.MOOT)
             return
-        if order.poured:
-            # Guards against half a body: what came after its beginning is not kept, and cannot be sent again.
+        if order.poured or not self._may_repeat(order):
+            # Guards against half a body, too: what came after its beginning is not kept to be sent again.
             self._ended(attempt, i.End.MOOT)
             return
         if not self.house.settings.parallel and order.out:
@@ -425,8 +425,8 @@
         if node is None:
             self._ended(attempt, i.End.CONNECT_FAILED)
             return
-        if idle := books.idle.get(attempt.node):
-            line = books.lines[idle.pop()]
+        if line := self._settled(attempt.node):
+            books.idle[attempt.node].remove(line.number)
             line.stage, line.attempt, attempt.line = Stage.BUSY, attempt, line.number
             self._write(line)
             return
@@ -435,16 +435,33 @@
             self._ended(attempt, i.End.CONNECT_FAILED)
             return
         line = self._open(fx.Party.STOCK_NODE, node.address)
-        line.node, line.attempt, attempt.line = attempt.node, attempt, line.number
+        line.node, line.process, line.attempt, attempt.line = attempt.node, node, attempt, line.number
         books.node_lines += 1
         self._at(self.now + self.house.dial_timeout, self._dial_over, line.number)
 
+    def _settled(self, node: int) -> Line | None:
+        """The idle connection that was used last, of those on which no second answer can be on its way."""
+        for number in reversed(self.books.idle.get(node, ())):
+            line = self.books.lines[number]
+            if line.since is None or self.now - line.since >= self.house.settling:
+                return line
+        return None
+
+    def _may_repeat(self, order: Order) -> bool:
+        """Guards what may have run against running again: a dial may outlast the time in which it may."""
+        return order.repeat_by is None or self.now + TICK < order.repeat_by
+
     def _write(self, line: Line) -> None:
         attempt = line.attempt
         assert attempt is not None
+        order = self.books.orders.get(attempt.order)
         if attempt.probe:
             self.out.append(fx.SendProbe(line.number))
-        elif order := self.books.orders.get(attempt.order):
+        elif order is None or not self._may_repeat(order):
+            # Its client has left, or its time for a repeat is over, while the connection came up.
+            self._rest_or_close(line, True)
+            self._ended(attempt, i.End.MOOT)
+        else:
             left = order.coming or max(NOTHING, attempt.stop_at - self.now)
             order.poured = order.errand.more
             attempt.written = not order.errand.more
@@ -484,7 +501,9 @@
         order = self.books.orders.get(attempt.order)
         if order:
             order.out -= was_out
-            order.may_have_run = order.may_have_run or end not in i.NEVER_RAN
+            if end not in i.NEVER_RAN and not order.may_have_run:
+                order.may_have_run = True
+                order.repeat_by = self._repeat_by(order, attempt)
             order.timed_out = end is i.End.TIMEOUT
         self.news.append(
             i.Outcome(
@@ -492,6 +511,12 @@
             )
         )  # fmt: skip
 
+    def _repeat_by(self, order: Order, attempt: Attempt) -> datetime | None:
+        """Until when an order may be sent again of which `attempt` may have run; None: at any time."""
+        kind = self.house.settings.classes[order.kind]
+        window = timedelta(seconds=kind.window) if kind.effect is i.Effect.KEYED else NOTHING
+        return None if order.harmless else attempt.started + window
+
     def _meant(self, units: float | None) -> float | None:
         """Guards an account's quota against a stock node's figure that no request can have."""
         return None if units is None else min(units, self.house.settings.most_units)
@@ -721,12 +746,27 @@
 
     def _rest_or_close(self, line: Line, keep: bool) -> None:
         """A connection whose answer is whole: kept for the next attempt, unless its node gets none."""
-        mark = self.books.marks.get(line.node)
-        if keep and line.node in self.books.nodes and not (mark is not None and mark.out):
+        if keep and self._wanted(line):
             self._rest(line)
         else:
             self._close_line(line)
 
+    def _wanted(self, line: Line) -> bool:
+        """Whether its stock node gets requests, and is still the process that it was opened to."""
+        node, mark = self.books.nodes.get(line.node), self.books.marks.get(line.node)
+        if node is None or node.entry.health is not i.Health.READY or mark is not None and mark.out:
+            return False
+        then = line.process
+        return then is None or (then.address, then.entry.started) == (node.address, node.entry.started)
+
+    def _drop_dials(self) -> None:
+        """Guards stock nodes that are to get nothing more, or are another process by now, against what still
+        waits for its connection there: it is sent elsewhere. Called when lists or staff have said so."""
+        for line in [li for li in self.books.lines.values() if li.party is fx.Party.STOCK_NODE]:
+            if line.stage is Stage.OPENING and not self._wanted(line):
+                self._close_line(line)
+                self._lost(line, ev.Reached.CONNECTING)
+
     # --- quota counter -------------------------------------------------------------------------------------
     def _count(self, action: i.Count) -> None:
         life = timedelta(seconds=action.ttl)
@@ -916,6 +956,7 @@
                 if new is None:
                     books.idle.pop(number, None)
         self.news.append(i.ServerList(kind, tuple(n.entry for n in nodes) + self._displaced()))
+        self._drop_dials()
         if self.house.judges_zones:
             self.out.append(fx.NodesListed(tuple(n.entry for n in books.nodes.values())))
 
@@ -1019,6 +1060,7 @@
                 del marks[node]
         if mark.out:
             self._close_idle(mark.node)
+            self._drop_dials()
         self.news.append(i.Banned(mark.node, mark.out, mark.at.timestamp()))
         self.out.append(fx.Log(f"maint: {mark.name} {'taken out' if mark.out else 'back in use'}"))
 
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -44,6 +44,9 @@
     counter_depth: int = 256  # calls without an answer on one connection
     answer_patience: timedelta = timedelta(milliseconds=100)  # between parts of a counter's or list's answer
     node_patience: timedelta = timedelta(milliseconds=300)  # and of a stock node's
+    # A connection is left alone so long behind its answer: a second one may still be on its way, and would be
+    # taken for the answer to the next request.
+    settling: timedelta = timedelta(milliseconds=25)
     counter_patience: timedelta = timedelta(seconds=2)  # a counter connection silent so long is replaced
     counter_doubt: timedelta = timedelta(milliseconds=200)  # one that is silent while others answer, so long
     # A watch that has died in silence is known by this alone: an agent that lives answers within the wait.
@@ -123,6 +126,7 @@
     party: Party
     stage: Stage
     node: int = 0
+    process: StockNode | None = None  # the stock node as it was listed when this was opened
     attempt: Attempt | None = None
     since: datetime | None = None  # idle since
     begun: datetime | None = None  # when an answer that is not whole yet began to come
@@ -148,6 +152,7 @@
     coming: timedelta | None = None  # its body still comes: the time its client gives it from the last byte
     poured: bool = False  # what came of its body after the beginning has been sent, and is not kept
     may_have_run: bool = False
+    repeat_by: datetime | None = None  # since it may have run: it may be sent again until then
     timed_out: bool = False
 
 
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -68,6 +68,10 @@
             self.step(ev.Woken())
         self.now = until
 
+    def settle(self) -> None:
+        """So long that a connection which has brought an answer may be used again."""
+        self.pass_time(self.reducer.house.settling)
+
     def bring_up(self) -> None:
         """Every connection asked for comes up."""
         for effect in list(self.out):
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -288,6 +288,7 @@
         line = desk.attempt().line
         desk.step(ev.AnswerFlows(line, "", 99_999, {}))
         desk.step(ev.AnswerWhole(line, True))
+        desk.settle()
         desk.admit(CHECK)
         assert desk.attempt().line == line
         desk.step(ev.FlowOver(order, True))
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -24,6 +24,7 @@
     assert attempt.errand.target == "/place-order"
     desk.step(ev.NodeAnswered(attempt.line, i.End.OK, True, b"done"))
     assert [(a.order, a.status, a.body) for a in desk.answers] == [(number, 200, b"done")]
+    desk.settle()
     desk.order(PLACE, units=2.0)
     desk.count(total=4.0)
     assert desk.attempt().line == attempt.line
@@ -327,6 +328,7 @@
     desk.admit(PLACE)
     old = desk.attempt().line
     desk.step(ev.NodeAnswered(old, i.End.OK, True, b""))
+    desk.settle()
     desk.admit(PLACE)
     assert desk.attempt().line == old
     heard = desk.listen()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -19,6 +19,8 @@
 from tests import town
 from tests.desk import START, house
 
+SETTLING = house().settling.total_seconds()
+
 
 @contextlib.asynccontextmanager
 async def town_with(
@@ -72,6 +74,7 @@
     async def scene() -> None:
         async with town_with(node) as (ingress, nodes, _):
             assert status(await ingress.ask("POST", "/place-order")) == 200
+            await asyncio.sleep(2 * SETTLING)  # at least: until the connection may be used again
             assert status(await ingress.ask("POST", "/place-order")) == 502
             assert nodes.connections == 1
             assert len(nodes.requests) == 2
