Close client connections with a lingering close, and lose no request to a shutdown

At fault: - wire/clients.dismiss closed a connection whose request lay unread in the kernel: a reset for that client. It looks (wire/descriptors.unread) and leaves such a one; only where there is no room (CloseClient.crowded) it does not. - stop_listening let the accept queue be reset. What waits there is taken in first, unless the socket is shared. - a last answer (leaving, Connection: close, refused, malformed, too long) was followed by a close over unread bytes. Handler.answer_last ends our side and drops what comes, 0.5 s and 256 KiB at most; nothing of it is read as a request. - memory/reducer left in the middle of a request's head; it waits for requests that are being read, within their limits. - Clients.close gave what was read meanwhile 0.1 s, and did not wait for answers in the write buffer. - a body that is dropped behind its answer had no bound (_read_out): 40 MiB and 4 KiB a second now. - lifecycle/service listened, and said ready, after SIGTERM had come during the start. A client that ends its sending side counts as gone, as before: its end cannot be told from a close.

--- a/opalgauge/lifecycle/service.py
+++ b/opalgauge/lifecycle/service.py
@@ -220,10 +220,11 @@
             await kin.start()
         if joined is not None and config.peering is not None:
             await joined.start(config.peering.listen)
-        await clients.listen(*config.listen, config.listen_fd)
-        ready = True
-        host, port = config.listen
-        log(f"ready: {config.name} on {host}:{port}, {len(config.house.known)} stock nodes known")
+        if not draining:  # guards clients against one that was asked to stop while it started
+            await clients.listen(*config.listen, config.listen_fd)
+            ready = True
+            host, port = config.listen
+            log(f"ready: {config.name} on {host}:{port}, {len(config.house.known)} stock nodes known")
         await over.wait()
         await asyncio.sleep(LINGER.total_seconds())
         if kin is not None:
--- a/opalgauge/memory/effects.py
+++ b/opalgauge/memory/effects.py
@@ -99,9 +99,13 @@
 
 @dataclass(slots=True)
 class CloseClient:
-    """Ends a client's connection, over which nothing is owed."""
+    """Ends a client's connection, over which nothing is owed.
+
+    What has come over it and was not read is waited for, unless there is no room for it (`crowded`).
+    """
 
     client: int
+    crowded: bool = False
 
 
 @dataclass(slots=True)
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -127,8 +127,9 @@
             for action in self.gateway.handle(self.now.timestamp(), news):
                 self.act[type(action)](action)
         books = self.books
-        crowd = books.silent or books.kept or books.asking or books.arriving or books.bodies
-        if books.draining and not books.orders and not books.flows and not books.left and (
+        coming = books.arriving or books.bodies  # requests that are being read
+        crowd = books.silent or books.kept or books.asking
+        if books.draining and not books.orders and not books.flows and not coming and not books.left and (
             books.grace_over or books.successor and not crowd
         ):
             books.left = True
@@ -253,10 +254,10 @@
             ):
                 oldest = next(iter(quiet.items()), None)
                 if oldest is not None and self.now - oldest[1] >= least:
-                    self._dismiss(oldest[0])
+                    self._dismiss(oldest[0], crowded=True)
                     break
             else:
-                self.out.append(fx.CloseClient(event.client))
+                self.out.append(fx.CloseClient(event.client, crowded=True))
                 return
         books.silent[event.client] = self.now
         self._look_later()
@@ -338,9 +339,9 @@
         if books.silent or books.arriving or books.kept:
             self._look_later()
 
-    def _dismiss(self, client: int) -> None:
+    def _dismiss(self, client: int, crowded: bool = False) -> None:
         self._unquiet(client)
-        self.out.append(fx.CloseClient(client))
+        self.out.append(fx.CloseClient(client, crowded))
 
     def _overdue(self, number: int) -> None:
         order = self.books.orders.get(number)
@@ -1089,3 +1090,6 @@
     def _grace_over(self, _: ev.GraceOver) -> None:
         self.books.grace_over = True
         self.out.append(fx.CloseFront())
+        # One whose request is being read is left: it is answered, and its answer ends the connection.
+        for client in (*self.books.silent, *self.books.kept):
+            self._dismiss(client)
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import re
 import socket
@@ -27,6 +28,7 @@
     RequestBegun,
     RequestOver,
 )
+from opalgauge.wire.descriptors import unread
 from opalgauge.wire.line import MOST_BODY, MOST_LONG
 
 BACKLOG = 512  # connections that wait to be accepted
@@ -37,6 +39,9 @@
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MOST_ACCOUNT = 2**33
 LAST_ROUND = 0.01  # s between looks at what is still owed when all leave
+LINGER = 0.5  # s: so long a client's bytes are read behind its last answer, and
+MOST_LINGER = 256 * 1024  # bytes: so many of them
+LAST_WRITE = 0.5  # s: for answers that their clients are slow to take, when all leave
 LONGEST = 3600.0  # s: nobody waits longer for an answer
 # What says how a body is to be read goes with it, and so does the key by which stock nodes know a repeat.
 PASSED = ("Content-Type", "Content-Encoding", "Idempotency-Key")
@@ -124,16 +129,59 @@
 
 
 class Handler(RequestHandler):
-    """aiohttp's connection handler, which also tells when a request has begun and is not whole."""
+    """aiohttp's connection handler, which also tells when a request has begun and is not whole.
 
-    __slots__ = ()
+    And it closes behind a last answer as it should be: `answer_last`. From then on the connection is
+    `lingering`: nothing that comes over it is read as a request.
+    """
+
+    __slots__ = ("lingering", "dropped")
+
+    def __init__(self, *args: Any, **more: Any) -> None:
+        super().__init__(*args, **more)
+        self.lingering, self.dropped = False, 0
 
     def data_received(self, data: bytes) -> None:
+        if self.lingering:
+            self.dropped += len(data)
+            if self.dropped > MOST_LINGER and self.transport is not None:
+                self.transport.pause_reading()  # guards the processor against a client that floods
+            return
         super().data_received(data)
         waiter = self._waiter
         if data and waiter is not None and not waiter.done() and self._manager is not None:
             self._manager.begun(self)  # type: ignore[attr-defined]
 
+    def _make_error_handler(self, err_info: Any) -> Any:
+        answer = super()._make_error_handler(err_info)
+
+        async def handler(request: web.BaseRequest) -> web.StreamResponse:
+            response: web.StreamResponse = await answer(request)
+            await self.answer_last(request, response)
+            return response
+
+        return handler
+
+    async def answer_last(self, request: web.BaseRequest, response: web.StreamResponse) -> None:
+        """A lingering close: writes a last answer, ends our side, and drops what its client still sends, up
+        to the client's end or a limit.
+
+        Guards the answer against the reset that a close over unread bytes sends: it destroys what is on its
+        way. aiohttp's own lingering does not end our side, and stops at the end of the request's body.
+        """
+        await response.prepare(request)
+        await response.write_eof()
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        self.lingering = True
+        with contextlib.suppress(OSError, RuntimeError):
+            transport.write_eof()
+            self._reading_paused = self._buffer_paused = False
+            transport.resume_reading()
+        # Ended by the client's end, too: whoever serves it is cancelled then.
+        await asyncio.sleep(LINGER)
+
 
 class Front(web.Server):
     """aiohttp's low-level server, which also tells when connections come and go."""
@@ -182,6 +230,8 @@
         self.busy: set[RequestHandler] = set()
         self.number = self.connection = 0
         self.last = False
+        self.shared = False  # another process may listen at the same socket
+        self.taking_in: set[asyncio.Task[Any]] = set()  # connections that waited when listening stopped
         self.listener: asyncio.Server | None = None
         loop = self.loop = asyncio.get_running_loop()
 
@@ -210,6 +260,7 @@
     async def listen(self, host: str, port: int, inherited: int | None = None) -> None:
         """Listens at an address, or on the listening socket that this process was started with."""
         loop = asyncio.get_running_loop()
+        self.shared = inherited is not None
         if inherited is None:
             self.listener = await loop.create_server(self.server, host, port, backlog=BACKLOG)
             return
@@ -224,26 +275,57 @@
             self.listener = None
 
     def stop_listening(self) -> None:
-        """No more connections, and those that stand idle are closed."""
+        """No more connections. Those that wait in the kernel's queue are taken in first.
+
+        Guards them against the reset that the queue's end sends: their requests may have been written.
+        """
+        listener = self.listener
+        if listener is not None and not self.shared:
+            for held in listener.sockets:
+                with contextlib.suppress(OSError):
+                    self._take_in(held)
         self.stop_accepting()
-        for connection in self.server.connections:
-            # Guards against `pre_shutdown`, which ends an idle connection's task but leaves its socket open.
-            if self._quiet(connection):
-                connection.force_close()
+
+    def _take_in(self, listening: Any) -> None:
+        door = socket.socket(listening.family, socket.SOCK_STREAM, 0, fileno=listening.fileno())
+        try:
+            while True:
+                accepted, _ = door.accept()
+                accepted.setblocking(False)
+                task = self.loop.create_task(self.loop.connect_accepted_socket(self.server, accepted))
+                self.taking_in.add(task)
+                task.add_done_callback(self.taking_in.discard)
+        finally:
+            door.detach()
 
     async def close(self) -> None:
-        """Guards what had been read, and was no order yet, when nothing seemed to be owed any more."""
-        while self.waiting:
+        """Ends what is left. Guards requests that had been read and were no order yet, or came in meanwhile,
+        when nothing seemed to be owed any more, and answers that their clients have yet to take."""
+        while self.waiting or self.taking_in:
+            await asyncio.sleep(LAST_ROUND)
+        until = self.loop.time() + LAST_WRITE
+        while self.waiting or self.loop.time() < until and any(map(self._unfinished, self.numbers)):
+            for connection, number in list(self.numbers.items()):
+                if not self._unfinished(connection):
+                    self.dismiss(number)
             await asyncio.sleep(LAST_ROUND)
         await self.server.shutdown(timeout=0.1)
 
+    def _unfinished(self, connection: RequestHandler) -> bool:
+        """Whether a last answer is still on its way, or a request is being read."""
+        transport = connection.transport
+        if transport is None:
+            return False
+        lingering = isinstance(connection, Handler) and connection.lingering
+        return lingering or transport.get_write_buffer_size() > 0 or not self._quiet(connection)
+
     def _quiet(self, connection: RequestHandler) -> bool:
         """Whether it has asked nothing, or not all of it: else an order is on its way, and a close would
         lose it, also in the turn of the loop in which its request has been read and nobody knows yet."""
         waiter, body = connection._waiter, self.reading.get(connection)
-        unread = connection._request_count == 0 and not connection._messages
+        nothing = connection._request_count == 0 and not connection._messages
         waits = waiter is not None and not waiter.done()
-        return unread or waits or (body is not None and not body.is_eof())
+        return nothing or waits or (body is not None and not body.is_eof())
 
     def _came(self, connection: RequestHandler) -> None:
         self.connection += 1
@@ -264,14 +346,24 @@
             self.connections.pop(number, None)
             self.report(ClientLeft(number))
 
-    def dismiss(self, client: int) -> None:
+    def dismiss(self, client: int, crowded: bool = False) -> None:
+        """Ends a connection over which nothing is owed.
+
+        One over which something has come that nobody has read is left: it is a request, most likely, whose
+        client must not be answered by a reset. `crowded`: there is no room for such a wait.
+        """
         connection = self.connections.get(client)
-        if connection is None:
+        transport = connection.transport if connection is not None else None
+        if connection is None or transport is None:
             return
-        if self._quiet(connection):
-            connection.force_close()
-        elif connection.transport is not None and connection.transport.get_write_buffer_size():
-            connection.transport.abort()  # guards against a client that does not read its answer
+        if isinstance(connection, Handler) and connection.lingering:
+            if crowded:
+                transport.abort()
+        elif self._quiet(connection):
+            if crowded or not unread(transport):
+                connection.force_close()
+        elif transport.get_write_buffer_size():
+            transport.abort()  # guards against a client that does not read its answer
         # Otherwise a whole request has been read and its order is on its way: closing now would lose it.
 
     def answer(self, effect: AnswerClient, flow: StreamReader | None = None) -> None:
@@ -282,10 +374,10 @@
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.raw_path == "/ready":
-            return web.Response(status=200 if self.ready() else 503)
+            return await self._plain(request, 200 if self.ready() else 503)
         client = self.numbers.get(request.protocol)
         if client is None:
-            return self._plain(400)  # gone before its request was read
+            return web.Response(status=400)  # gone before its request was read
         whole, body = request.content.is_eof(), b""
         try:
             if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
@@ -306,7 +398,7 @@
             order = read_order(request, self.number, client, body, self.trade)
         except Malformed as bad:
             self.report(RequestOver(client))
-            return self._plain(bad.status)
+            return await self._plain(request, bad.status, request.content)
         if not whole:
             order.errand.more, order.errand.length = True, request.content_length
             self.bodies[order.order] = request.content
@@ -336,7 +428,7 @@
             response.force_close()
         if not whole and not request.content.is_eof():
             await self._read_out(request, response, order.client)
-        return response
+        return await self._finish(request, response)
 
     async def _read_out(self, request: web.BaseRequest, response: web.Response, client: int) -> None:
         """The answer leaves at once; what still comes of the request's body is dropped.
@@ -346,10 +438,15 @@
         await response.prepare(request)
         await response.write_eof()
         self.report(BodyComing(client))
+        dropped, started = 0, self.loop.time()
         try:
             while not request.content.is_eof():
                 async with asyncio.timeout(BODY_STALL):
-                    await request.content.readany()
+                    dropped += len(await request.content.readany())
+                # Guards the connection's place against a body without end, and one that hardly comes.
+                if dropped > MOST_LONG or dropped < LEAST_RATE * (self.loop.time() - started - BODY_STALL):
+                    response.force_close()
+                    break
         except Exception:
             response.force_close()
         self.report(RequestOver(client))
@@ -387,7 +484,7 @@
             if not whole and request.transport is not None:
                 request.transport.abort()
             self.report(FlowOver(effect.order, whole))
-        return response
+        return await self._finish(request, response)
 
     async def _beginning(self, request: web.BaseRequest) -> tuple[bytes, bool]:
         """As much of a body as is held, and whether that is all. Raises Malformed where it stops."""
@@ -411,8 +508,18 @@
         finally:
             self.reading.pop(request.protocol, None)
 
-    def _plain(self, status: int) -> web.Response:
+    async def _plain(
+        self, request: web.BaseRequest, status: int, body: StreamReader | None = None
+    ) -> web.StreamResponse:
+        """An answer to what is no order. A body that has not come whole ends the connection with it."""
         response = web.Response(status=status)
-        if self.last:
+        if self.last or body is not None and not body.is_eof():
             response.force_close()
+        return await self._finish(request, response)
+
+    async def _finish(self, request: web.BaseRequest, response: web.StreamResponse) -> web.StreamResponse:
+        """Writes an answer behind which the connection ends; any other is left to aiohttp."""
+        last = response.keep_alive is False or not request.keep_alive
+        if last and isinstance(connection := request.protocol, Handler):
+            await connection.answer_last(request, response)
         return response
--- /dev/null
+++ b/opalgauge/wire/descriptors.py
@@ -0,0 +1,35 @@
+"""A look at a transport's socket that the loop does not offer: what lies unread there, its end at once."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Iterator
+
+
+@contextlib.contextmanager
+def borrowed(transport: asyncio.BaseTransport) -> Iterator[socket.socket]:
+    """The transport's socket, for the moment.
+
+    It stands on the loop's own descriptor and lets go of it. Guards against closing that: its number
+    would soon be another connection's, and bytes of one would go to the other. With its kind told, making
+    it asks the system nothing.
+    """
+    theirs = transport.get_extra_info("socket")
+    held = socket.socket(theirs.family, socket.SOCK_STREAM, 0, fileno=theirs.fileno())
+    try:
+        yield held
+    finally:
+        held.detach()
+
+
+def unread(transport: asyncio.BaseTransport) -> bytes | None:
+    """A byte that has come and was not read; empty at the connection's end, None where nothing has come."""
+    try:
+        with borrowed(transport) as held:
+            return held.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return None
+    except (OSError, ValueError):
+        return b""
--- a/opalgauge/wire/exchange.py
+++ b/opalgauge/wire/exchange.py
@@ -214,7 +214,7 @@
 
     def _close_client(self, effect: fx.CloseClient) -> None:
         if self.clients is not None:
-            self.clients.dismiss(effect.client)
+            self.clients.dismiss(effect.client, effect.crowded)
 
     def _wake_at(self, effect: fx.WakeAt) -> None:
         if self.timer is not None:
--- a/opalgauge/wire/line.py
+++ b/opalgauge/wire/line.py
@@ -11,7 +11,7 @@
 import contextlib
 import socket
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import cast
 
@@ -30,6 +30,7 @@
     LineUp,
     Reached,
 )
+from opalgauge.wire.descriptors import borrowed, unread
 
 MOST_BODY = 64 * 1024  # bytes: a longer answer is not held, but passed on while it comes
 MOST_LONG = 40 * 1024 * 1024  # bytes: nor is any message longer
@@ -314,30 +315,8 @@
         Guards against writing to a connection that the other side has just closed, which would be a reset,
         and against taking what it sent unasked for the answer; the loop may yet have to tell of either.
         """
-        try:
-            with self._borrowed() as held:
-                held.recv(1, socket.MSG_PEEK)
-            return True
-        except BlockingIOError:
-            return False
-        except (OSError, ValueError):
-            return True
-
-    @contextlib.contextmanager
-    def _borrowed(self) -> Iterator[socket.socket]:
-        """The connection's socket, for the moment.
-
-        It stands on the loop's own descriptor and lets go of it. Guards against closing that: its number
-        would soon be another connection's, and bytes of one would go to the other. With its kind told, making
-        it asks the system nothing.
-        """
         assert self.transport is not None
-        theirs = self.transport.get_extra_info("socket")
-        held = socket.socket(theirs.family, socket.SOCK_STREAM, 0, fileno=theirs.fileno())
-        try:
-            yield held
-        finally:
-            held.detach()
+        return unread(self.transport) is not None
 
     def end(self) -> None:
         """Ends the connection before anything else is sent on another; nothing more is reported."""
@@ -345,7 +324,7 @@
         if self.transport is not None:
             # Guards against the loop's habit of closing a socket a turn later, when a further attempt would
             # already be out.
-            with contextlib.suppress(OSError, ValueError), self._borrowed() as held:
+            with contextlib.suppress(OSError, ValueError), borrowed(self.transport) as held:
                 held.shutdown(socket.SHUT_RDWR)
             self.transport.abort()
 
