Open a broken watch of the node list at once, and hear no list that cannot be meant

At fault: - memory/reducer._list_line_lost waited 100 ms before it opened a watch anew, also where the old one had lasted: what is told in that time counts as heard. Found right, kept as guards: half a head, list or chunk, 1xx alone, an old watch's late answer, SIGHUP in the middle of a list, while discovery is down, and with the same address.

--- a/opalgauge/lifecycle/config.py
+++ b/opalgauge/lifecycle/config.py
@@ -22,6 +22,7 @@
 # Where the list must be asked for, a question that is given up has taken a turn from all ingresses.
 LIST_ASKED = timedelta(seconds=20)  # a watch waits so long there
 LIST_TURN = timedelta(milliseconds=100)  # for each ingress: the node list was seen to tell 6 to 12 a second
+LIST_LONGEST_PAUSE = timedelta(seconds=8)
 STREAM_SHARE, STREAM_MB = 0.5, 0.45  # of the memory, for long bodies; what one of them holds of it at most
 SPARE_SOCKETS = 48  # listener, node list, quota counter, standard streams and the loop's own
 
@@ -118,7 +119,10 @@
             most_streams=max(8, int(memory * STREAM_SHARE / STREAM_MB)),
         )
         if settings.list_on_request:
-            house = replace(house, list_wait=LIST_ASKED, list_turn=LIST_TURN * settings.gateways)
+            turn = LIST_TURN * settings.gateways
+            house = replace(
+                house, list_wait=LIST_ASKED, list_turn=turn, list_longest_pause=LIST_LONGEST_PAUSE
+            )
         trade = Trade(
             [(str(c["name"]), c.get("effect") == "retryable") for c in told_settings["classes"]],
             [str(t["name"]) for t in told_settings["tiers_of_service"]],
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -674,7 +674,7 @@
         elif line.party is fx.Party.QUOTA_COUNTER:
             self._counter_line_lost(line)
         else:
-            self._list_line_lost()
+            self._list_line_lost(line)
 
     def _rest(self, line: Line) -> None:
         """A connection to a stock node is free again; it is closed before the node would close it."""
@@ -882,7 +882,7 @@
         # Guards against an agent that never answers: the watch is asked anew on a fresh connection.
         if line.number in self.books.lines and line.since == asked:
             self._close_line(line)
-            self._list_line_lost()
+            self._list_line_lost(line)
 
     def _list_unheard(self, what: str) -> None:
         """Told in the log once, until the agent answers again."""
@@ -890,9 +890,10 @@
             self.books.list_heard = False
             self.out.append(fx.Log(f"node list: {what}"))
 
-    def _list_line_lost(self) -> None:
+    def _list_line_lost(self, line: Line) -> None:
+        """A watch that had lasted is asked anew at once: what is told meanwhile counts as heard."""
         self._list_unheard("agent not answering; serving on with the list as last told")
-        self._at(self.now + self.house.list_pause, self._ask_list)
+        self._at(max(self.now, (line.since or self.now) + self.house.list_pause), self._ask_list)
 
     def _node_list_answered(self, event: ev.NodeListAnswered) -> None:
         line = self.books.lines.get(event.line)
@@ -902,8 +903,11 @@
         if event.turned_away:
             self._list_turned_away(line)
             return
-        if event.nodes is None:
-            # Guards against an answer that cannot be read: the whole list is asked for, after a pause.
+        known = self.books.list_version
+        changes = event.kind is i.ListKind.CHANGES
+        if event.nodes is None or changes and (known is None or event.version < known):
+            # Guards against an answer that cannot be read, and changes of a list that was not told or has
+            # been counted anew: the whole list is asked for, after a pause.
             self._list_unheard("unreadable answer; asking for the whole list")
             self.books.list_version = None
             self._close_line(line)
@@ -913,15 +917,18 @@
             self.books.list_heard = True
             self.out.append(fx.Log("node list: agent answers again"))
         self.books.list_version, self.books.list_refusals = event.version, 0
-        if event.nodes or event.kind is i.ListKind.WHOLE:
+        if event.nodes or not changes:
             self._take_list(event.kind, event.nodes)
-        if event.keep and not event.nodes and self.now - asked < self.house.list_pause:
-            # Guards against an agent that does not wait: asking it without a pause would take the whole core.
-            self._at(self.now + self.house.list_pause, self._ask_list_again, line)
+        if not event.keep:
+            self._close_line(line)
+        # Guards against an agent that does not wait: asking it without a pause would take the whole core.
+        if (not event.nodes or event.version == known) and self.now - asked < self.house.list_pause:
+            self._at(self.now + self.house.list_pause, *(
+                (self._ask_list_again, line) if event.keep else (self._ask_list,)
+            ))  # fmt: skip
         elif event.keep:
             self._write_list_question(line)
         else:
-            self._close_line(line)
             self._ask_list()
 
     def _list_turned_away(self, line: Line) -> None:
@@ -994,7 +1001,7 @@
         if event.node_list_address != books.node_list_address:
             books.node_list_address = event.node_list_address
             # Guards against versions that another agent counts differently: its whole list is asked for.
-            books.list_version = None
+            books.list_version, books.list_refusals = None, 0
             if watch := books.lines.get(books.list_line):
                 self._close_line(watch)
             self._ask_list()
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -53,7 +53,7 @@
     list_wait: timedelta = timedelta(seconds=1)
     list_late: timedelta = timedelta(milliseconds=300)  # and it is given up so long after that
     list_pause: timedelta = timedelta(milliseconds=100)  # a watch lasts if it is asked again within 200 ms
-    list_longest_pause: timedelta = timedelta(seconds=8)  # between questions that are turned away
+    list_longest_pause: timedelta = timedelta(seconds=2)  # between questions that are turned away
     list_turn: timedelta = timedelta(0)  # in which all ingresses can be given a list that must be asked for
     answer_margin: timedelta = timedelta(milliseconds=25)  # the decisions are told so much less time
     wake_slack: timedelta = timedelta(milliseconds=3)  # the wake-up comes so late at most
--- a/opalgauge/wire/node_list.py
+++ b/opalgauge/wire/node_list.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import json
+import math
 from collections.abc import Sequence
 from datetime import timedelta
 from typing import Any
@@ -27,6 +28,14 @@
     return f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: node-list\r\n\r\n".encode("ascii")
 
 
+def finite(value: Any) -> float:
+    """A figure of a list; what is none, or has no end, makes the list unreadable."""
+    figure = float(value)
+    if not math.isfinite(figure):
+        raise ValueError("not a finite figure")
+    return figure
+
+
 def read_nodes(lines: Sequence[Any], zones: Sequence[str]) -> tuple[StockNode, ...]:
     """The stock nodes of a list; raises what an unreadable line raises."""
     nodes = []
@@ -37,8 +46,8 @@
             HEALTH[line["health"]],
             zones.index(site) if site in zones else len(zones),
             int(line.get("block", 0)),
-            float(line.get("born_ms", 0)) / 1000.0,
-            float(line.get("share", 1.0)),
+            finite(line.get("born_ms", 0)) / 1000.0,
+            finite(line.get("share", 1.0)),
         )
         nodes.append(StockNode(str(line.get("dial", "")), entry))
     return tuple(nodes)
@@ -61,5 +70,5 @@
             nodes = read_nodes(told["hosts"], self.zones)
             kind = ListKind.WHOLE if told["whole"] else ListKind.CHANGES
             return NodeListAnswered(line, reply.keep, int(told["seq"]), kind, nodes)
-        except (ValueError, KeyError, TypeError, AttributeError, OverflowError):
+        except (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError):
             return unread
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -249,6 +249,9 @@
     desk.admit(CHECK)
     line = desk.attempt().line
     desk.step(ev.NodeAnswered(line, i.End.OK, True, b""))
+    while desk.list_question().line not in desk.reducer.books.lines:  # it may be between two watches
+        desk.pass_time(timedelta(milliseconds=100))
+        desk.bring_up()
     desk.step(ev.NodeListAnswered(desk.list_question().line, True, 12, i.ListKind.WHOLE, (node(99),)))
     assert fx.CloseLine(line) in desk.out
 
