Keep under a ceiling what is sent beyond a quota beside what totals let in

Change: on such plans all gateways' parts bear what totals let in alike, the others' as the totals tell it (Gateway.believe).

--- a/starlinggap/brain.py
+++ b/starlinggap/brain.py
@@ -83,7 +83,7 @@
         self.spread = max(1, request.spread) * request.parts
         # A window lasts as long as the burst takes to fill, or as long as two names can be kept.
         self.length = min(plan.burst / plan.rate, LONGEST_NAME / TTL_WINDOWS) if plan.rate > 0 else 0.0
-        self.limit = min(plan.burst, plan.rate * self.length)
+        self.limit, self.charged = min(plan.burst, plan.rate * self.length), plan.over_worth > plan.over_cost
         self.window = int(now // self.length) if self.length else 0
         self.total = self.own = self.lost = self.prev = self.debt = self.withheld = 0.0
         self.prev_known = self.reading = False
@@ -394,7 +394,8 @@
                 # any loss of counts; if a refund this large were real, room is missed for one window.
                 c.lost += c.total + added - total
                 total = c.total + added
-            others = max(0.0, total - added - c.total)
+            others = max(0.0, heard := total - added - c.total)
+            c.room -= c.charged * heard / c.spread  # all bear an equal part of what totals let in
             fade = math.exp(-min(self.now - c.told, self.now - c.window * c.length) / (2 * c.length))
             c.others = c.others * fade + others / (2 * c.length)
             c.deficit = max(0.0, c.deficit + others - c.withheld)
@@ -452,13 +453,12 @@
         work.asking, work.beyond = False, not inside
         if not inside and asked:  # chance and overload say nothing of the customer
             c.denied = self.now + FLUSH * c.length
-        # What totals let in stays within the quota over all gateways, and so under the ceiling: it needs no
-        # part of that, unless the counter forgot lately. Guards against refusing inside a quota where a part
-        # is a few requests' worth. Parts are for what is let in without, and leave room for the rest.
+        # What totals let in is within the quota, so under the ceiling: it needs no part, which may be less
+        # than a request, unless the counter forgot. Parts are for the rest; where beyond pays they bear all.
         told = asked and inside and self.now - self.forgot_at > TTL_WINDOWS * c.length
         work.ceiled = plan.ceiling_rate > 0 and not told
         room = self.ask * c.limit if inside else BEYOND_ROOM * plan.ceiling_burst
-        need = work.cost + max(room, c.deficit * (not c.stale)) / c.spread  # what totals have just let in
+        need = work.cost + max(room, c.deficit * (not c.stale and not c.charged)) / c.spread
         if not inside:
             self.take_back(work)
         else:
@@ -632,7 +632,7 @@
         return work.cls.effect is Effect.KEYED and self.now + self.s.tick < work.risky_at + work.cls.window
 
     def dispatch(self, work: Work) -> None:
-        avoid = {a.server for a in work.attempts}
+        avoid, c = {a.server for a in work.attempts}, work.customer
         allowed = self.may_send(work) and (work.attempts or work.cleared or not self.spare(work))
         key = self.choose(work, avoid) if allowed else None
         if allowed and key is None and avoid:
@@ -646,12 +646,12 @@
         if self.untried and key in self.untried:
             self.untried.remove(key)
             self.list_ready()
-        if not work.sent and work.ceiled:
-            work.customer.room -= work.cost
+        if not work.sent:
+            c.room -= work.cost * (work.ceiled or c.charged / c.spread)
         work.sent = True
         work.live[n := len(work.attempts)] = key
         work.attempts.append(attempt := Attempt(work, key, self.now, self.on_kept(key, server)))
-        work.customer.open += 1
+        c.open += 1
         if work.risky < 0:
             work.risky, work.risky_at = key, self.now
         server.out[(work.id, n)] = math.inf if work.request.coming else self.now
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -49,6 +49,7 @@
         self.room, self.room_at = CEILING.ceiling_burst, 0.0
         self.totals: dict[int, float] = {}
         self.sent = 0
+        self.ends, self.paces = ENDS, [0.03, 0.2, 0.9]  # of attempts
         for g in range(gateways):
             lines = tuple(entry(n, cell=n % 2, zone=n % 3) for n in self.health)
             self.later(0.0, g, i.ServerList(i.ListKind.WHOLE, lines))
@@ -155,7 +156,7 @@
             self.room, self.room_at = min(CEILING.ceiling_burst, filled) - ask.units, self.now
             assert self.room >= -CEILING.ceiling_slack, "the ceiling is passed"
         before.append((a.server, self.now, "out"))
-        end, took = self.rng.choice(ENDS), self.rng.choice([0.03, 0.2, 0.9])
+        end, took = self.rng.choice(self.ends), self.rng.choice(self.paces)
         if self.now + took > a.stop_at:
             end, took = i.End.TIMEOUT, max(0.0, a.stop_at - self.now)
         self.later(took, gate, i.Outcome(a.request, len(before) - 1, a.server, end, took))
@@ -222,6 +223,19 @@
     assert world.sent > 20
 
 
+@pytest.mark.parametrize("gates", [1, 2, 3, 4])
+@pytest.mark.parametrize("seed", range(4))
+def test_ceiling_holds_for_a_customer_who_asks_for_far_more_all_day(seed: int, gates: int) -> None:
+    # What totals let in and what is worth sending beyond the quota come to more than either.
+    world = World(seed, gates, "well", settings(classes=CLASSES[:1], plans=(CEILING,), gateways=gates))
+    world.ends, world.paces = [i.End.OK], [0.03]
+    for n in range(100_000, 100_500):
+        units = float(world.rng.choice([1, 1, 2, 4]))
+        world.later(0.0, world.rng.randrange(gates), i.Request(n, 0, 0, 5, 1.0, units, gates))
+        world.step(0.06)
+    assert world.sent * 2.0 > 30 * CEILING.rate, "and it gets more than its quota"
+
+
 @pytest.mark.parametrize("counter", COUNTERS)
 def test_ceiling_holds_while_an_old_and_a_new_process_serve_side_by_side(counter: str) -> None:
     s = settings(classes=CLASSES[:1], plans=(CEILING,), gateways=2)
