End a start on settings that contradict themselves, and hand over nothing to strangers

At fault: - lifecycle/config read settings that the Gateway then refused: a traceback and exit code 1 in place of one line and 2 (no class, no balancers, a negative deadline or rate). make_config checks as a whole now: names that stand twice, a class without effect (taken as safe to repeat before), figures that cannot be. On reload the old settings go on. - handover/kin took whatever stood at the folder's socket for the same ingress: its memory under other settings, and its life, which halves the ceilings' parts. A caller says whose it is and by which settings, as digests; another ingress's socket is left alone, said in one line. Two processes of one ingress with other settings still share its part. Found right: torn, old, foreign records; no name of a site, class or tenant in the program (one docstring named a site).

Tests: 13 contradictions started for real; 100 generated deployments, all that decisions use compared with what was told; strangers over real sockets.

--- a/opalgauge/__init__.py
+++ b/opalgauge/__init__.py
@@ -1,1 +1,1 @@
-"""opalgauge: the shared-quota ingress of rennes-campus, on real sockets."""
+"""opalgauge: a shared-quota HTTP ingress, on real sockets."""
--- a/opalgauge/handover/kin.py
+++ b/opalgauge/handover/kin.py
@@ -32,7 +32,9 @@
         report: Callable[[Event], None],
         now: Callable[[], datetime],
         log: Callable[[str], None],
+        who: record.Identity = record.NOBODY,
     ) -> None:
+        self.who = who
         self.path = Path(folder) / NAME
         self.memory, self.report, self.now, self.log = memory, report, now, log
         self.server: asyncio.Server | None = None
@@ -42,19 +44,23 @@
 
     async def start(self) -> None:
         """Hears what an old process knows, if there is one; listens where there is none."""
+        told = None
         try:
             async with asyncio.timeout(PATIENCE.total_seconds()):
                 reader, self.link = await asyncio.open_unix_connection(str(self.path))
                 self.report(KinSeen(2))
-                self.link.write(record.HELLO)
-                told = await self._hear(reader)
+                self.link.write(record.hello(self.who))
+                head = await reader.readline()
+                if head == record.STRANGER:
+                    self._strangers()
+                    return
+                told = await self._hear(head, reader)
         except OSError:
             if self.link is None:
                 await self._listen()  # nobody is there, or one that died
                 return
-            told = None
         except (TimeoutError, ValueError, asyncio.IncompleteReadError):
-            told = None
+            pass
         if told is None:
             self.log("handover: the old process hands over nothing that can be used; starting from nothing")
         else:
@@ -63,6 +69,14 @@
             return
         self._run(self._until_alone(reader))
 
+    def _strangers(self) -> None:
+        """Another ingress has this folder, too. Its place there is left to it, and its part of the limits."""
+        assert self.link is not None
+        self.link.close()
+        self.link = None
+        self.report(KinSeen(1))
+        self.log("handover: a process of another ingress is at this folder; nothing of it is used")
+
     def close(self) -> None:
         for task in self.tasks:
             task.cancel()
@@ -77,8 +91,7 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _hear(self, reader: asyncio.StreamReader) -> Any | None:
-        head = await reader.readline()
+    async def _hear(self, head: bytes, reader: asyncio.StreamReader) -> Any | None:
         size = record.length(head)
         if size is None:
             return None
@@ -107,10 +120,12 @@
         try:
             async with asyncio.timeout(PATIENCE.total_seconds()):
                 hello = await reader.readline()
-            known = record.write(self.memory(), self.now()) if hello == record.HELLO else b"unknown\n"
-            self.report(KinSeen(2))
-            writer.write(known)
+            answer = record.answer(hello, self.who, self.memory, self.now())
+            writer.write(answer)
             await writer.drain()
+            if answer == record.STRANGER:
+                return
+            self.report(KinSeen(2))
             while await reader.read(4096):
                 pass
         except (OSError, TimeoutError, ValueError):
--- a/opalgauge/lifecycle/config.py
+++ b/opalgauge/lifecycle/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, replace
@@ -14,7 +15,8 @@
 from opalgauge.wire.clients import Trade
 from opalgauge.wire.node_list import read_nodes
 from starlinggap.benchlink import WireError, read_settings
-from starlinggap.interface import SettingsError
+from starlinggap.brain import check
+from starlinggap.interface import Settings, SettingsError
 
 CROWD = 3  # part of the clients' connections
 DIAL_SHARE = 0.4  # of the time allowed for connecting: where a connection comes up, it takes a few ms
@@ -55,6 +57,7 @@
     console: tuple[str, int] | None = None  # where staff call; None: there is no such door
     listen_fd: int | None = None  # the clients' listening socket, where the platform holds it
     peering: Peering | None = None  # None: zones are not judged, and no datagram is sent
+    settings_told: Any = None  # as they were told: whatever was learned under others is no good
     scratch: str = ""  # the platform's folder for this ingress, the same for an old and a new process
 
 
@@ -84,6 +87,29 @@
     return host, int(port)
 
 
+def check_told(told: Mapping[str, Any], settings: Settings, dial_timeout: float) -> None:
+    """Refuses settings that contradict themselves, as half of another deployment's file would."""
+
+    def need(ok: bool, what: str) -> None:
+        if not ok:
+            raise SettingsError(what)
+
+    check(settings)
+    for key in ("classes", "tiers_of_service"):
+        names = [str(row["name"]) for row in told[key]]
+        need(len(set(names)) == len(names), f"{key}: a name stands there twice")
+        need(all(names), f"{key}: one has no name")
+    for n, row in enumerate(told["classes"]):
+        # Guards against taking a class for one that may be repeated because nobody said that it may not.
+        need("effect" in row, f"classes[{n}].effect: missing")
+    need(0 <= settings.me < settings.gateways, "me: no number among the balancers")
+    need(settings.max_attempts >= 1, "ceilings.try_limit: must be 1 or more")
+    need(0 < settings.most_units < math.inf, "domain.units_top: must be above 0")
+    need(not settings.counter or 0 < settings.counter_timeout < math.inf, "domain.counter_timeout: above 0")
+    need(0 < settings.keeps_open < math.inf, "ceilings.conn_idle: must be above 0")
+    need(0 < dial_timeout < math.inf, "ceilings.dial_timeout: must be above 0")
+
+
 def make_config(told: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
     try:
         told_settings = told["settings"]
@@ -99,6 +125,8 @@
         most_lines = max(16, sockets - most_clients - SPARE_SOCKETS)
         memory = float(told.get("limits", {}).get("memory_mb", 192))
         ceilings = told_settings.get("ceilings", {})
+        dial_timeout = float(ceilings.get("dial_timeout", 0.25))
+        check_told(told_settings, settings, dial_timeout)
         house = House(
             settings=settings,
             seed=int(str(told.get("seed", "0")), 16),
@@ -109,7 +137,7 @@
             ),
             known_version=int(known.get("seq", 0)),
             known=read_nodes(known.get("hosts", ()), zones),
-            dial_timeout=timedelta(seconds=DIAL_SHARE * float(ceilings.get("dial_timeout", 0.25))),
+            dial_timeout=timedelta(seconds=DIAL_SHARE * dial_timeout),
             idle_limit=keeps,
             counter_timeout=timedelta(seconds=settings.counter_timeout),
             most_lines=most_lines,
@@ -149,9 +177,10 @@
             console=_address(str(console)) if console else None,
             listen_fd=int(inherited) if inherited else None,
             peering=peering,
+            settings_told=told_settings,
             scratch=environ.get("TMPDIR", ""),
         )  # fmt: skip
-    except (KeyError, TypeError, ValueError, AttributeError, WireError, SettingsError) as bad:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError, WireError, SettingsError) as bad:
         raise ConfigError(f"configuration cannot be used: {type(bad).__name__}: {bad}") from None
 
 
--- a/opalgauge/lifecycle/service.py
+++ b/opalgauge/lifecycle/service.py
@@ -214,9 +214,11 @@
         kin = None
         if shared and config.scratch:
             from opalgauge.handover.kin import Kin  # not loaded where no other process can be
+            from opalgauge.handover.record import Identity
 
             gateway = exchange.reducer.gateway
-            kin = Kin(config.scratch, lambda: take(gateway), exchange.report, clock.now, log)
+            who = Identity.of(config.name, config.settings_told)
+            kin = Kin(config.scratch, lambda: take(gateway), exchange.report, clock.now, log, who)
             await kin.start()
         if joined is not None and config.peering is not None:
             await joined.start(config.peering.listen)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -169,3 +169,47 @@
         assert not said
 
     asyncio.run(asyncio.wait_for(scene(), 20))
+
+
+STRANGERS = {
+    "another ingress": (record.Identity.of("n1", {"classes": [1]}), False),
+    "another customer's settings": (record.Identity.of("n0", {"classes": [2]}), True),
+}
+
+
+@pytest.mark.parametrize("stranger", STRANGERS)
+def test_what_others_have_learned_is_not_used(stranger: str, tmp_path: Path) -> None:
+    other, kin_too = STRANGERS[stranger]
+
+    async def scene() -> None:
+        old_heard, new_heard, said = list[ev.Event](), list[ev.Event](), list[str]()
+        mine = record.Identity.of("n0", {"classes": [1]})
+        old = Kin(str(tmp_path), lambda: {"from": "old"}, old_heard.append, lambda: START, said.append, other)
+        new = Kin(str(tmp_path), lambda: {"from": "new"}, new_heard.append, lambda: START, said.append, mine)
+        await old.start()
+        await new.start()
+        assert not [e for e in new_heard if isinstance(e, ev.MemoryHanded)]
+        assert len(said) == 1 and said[0].startswith("handover: ")
+        # Two processes of one ingress share its part of the limits, whatever they work by; others do not.
+        assert new_heard[-1] == ev.KinSeen(2 if kin_too else 1)
+        if kin_too:
+            while ev.KinSeen(2) not in old_heard:
+                await asyncio.sleep(0)
+        else:
+            while old.callers:
+                await asyncio.sleep(0)
+            assert ev.KinSeen(2) not in old_heard
+            assert new.server is None and (tmp_path / NAME).exists(), "the other's place is left to it"
+        new.close()
+        old.close()
+
+    asyncio.run(asyncio.wait_for(scene(), 20))
+
+
+@given(st.binary(max_size=80))
+@hypothesis.settings(derandomize=True, max_examples=80)
+def test_whatever_a_caller_says_first_is_answered_without_what_was_learned(said: bytes) -> None:
+    mine = record.Identity.of("n0", {})
+    for hello in (said, record.hello(mine)[:-3] + said, said + record.hello(mine)):
+        if hello.removesuffix(b"\n") != record.hello(mine).removesuffix(b"\n"):
+            assert record.answer(hello, mine, lambda: {"a": 1}, START) in (record.STRANGER, record.UNUSABLE)
--- a/tests/test_wire_words.py
+++ b/tests/test_wire_words.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import json
+import os
+import subprocess
+import sys
 from datetime import timedelta
+from pathlib import Path
 from typing import Any
 
+import hypothesis
 import pytest
 from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
 from aiohttp.test_utils import make_mocked_request
+from hypothesis import given
+from hypothesis import strategies as st
 
 from opalgauge.lifecycle.config import ConfigError, flatten, make_config
 from opalgauge.memory.events import Errand
@@ -17,7 +24,7 @@
 from opalgauge.wire.line import Reply
 from opalgauge.wire.node_list import NodeListReader, node_number, question_bytes
 from starlinggap import interface as i
-from tests.town import SETTINGS
+from tests.town import ROOT, SETTINGS
 
 HOST = {"host": "s-5be2a07c", "dial": "127.0.0.9:5000", "site": "bat-b", "block": 3,
         "health": "terminating", "share": 1.5, "born_ms": 1500}  # fmt: skip
@@ -169,3 +176,118 @@
     order = read_order(request, 1, 1, b"{}", trade)
     sent = stock_nodes.attempt_bytes(order.errand, timedelta(milliseconds=400))
     assert b"\r\nIdempotency-Key: 5c0f6e1a\r\n" in sent and sent.startswith(b"POST /place-order/7?x=1 ")
+
+
+CONTRADICTIONS: dict[str, dict[str, Any]] = {
+    "gateways": {"balancers": 0},
+    "me": {"me": 2},
+    "classes: ": {"classes": []},
+    "classes: a name": {"classes": [SETTINGS["classes"][0]] * 2},
+    "classes[0].effect": {"classes": [{"name": "x", "aim": 0.4, "deadline": 1.2}]},
+    "classes[0].deadline": {"classes": [{**SETTINGS["classes"][0], "deadline": -1}]},
+    "plans[0].rate": {"tiers_of_service": [{"name": "x", "quota_rate": -1, "most_at_once": 5}]},
+    "tiers_of_service: a name": {"tiers_of_service": SETTINGS["tiers_of_service"] * 2},
+    "ceilings.try_limit": {"ceilings": {**SETTINGS["ceilings"], "try_limit": 0}},
+    "ceilings.dial_timeout": {"ceilings": {**SETTINGS["ceilings"], "dial_timeout": float("nan")}},
+    "ceilings.conn_idle": {"ceilings": {**SETTINGS["ceilings"], "conn_idle": 0}},
+    "domain.units_top": {"domain": {**SETTINGS["domain"], "units_top": 0}},
+    "domain.counter_timeout": {"domain": {**SETTINGS["domain"], "counter_timeout": -0.1}},
+}
+
+
+@pytest.mark.parametrize("field", CONTRADICTIONS)
+def test_settings_that_contradict_themselves_end_a_start_with_one_line(field: str, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(told(settings={**SETTINGS, **CONTRADICTIONS[field]})))
+    environ = {**os.environ, "BALANCER_CONFIG": str(path)}
+    ended = subprocess.run(
+        [sys.executable, "-m", "opalgauge"], cwd=ROOT, env=environ, capture_output=True, text=True, timeout=60
+    )
+    assert ended.returncode == 2
+    (line,) = ended.stderr.splitlines()
+    assert line.startswith("opalgauge: cannot start: ") and field in line
+
+
+FIGURES = st.floats(0.01, 1e4, allow_nan=False)
+NAMES = st.text("abcdefghijklmnopqrstuvwxyz-", min_size=1, max_size=12)
+EFFECTS = {"retryable": i.Effect.SAFE, "dedup": i.Effect.KEYED, "fragile": i.Effect.UNSAFE}
+CLASSES = st.lists(
+    st.fixed_dictionaries({
+        "name": NAMES, "aim": FIGURES, "deadline": FIGURES, "credit": FIGURES, "late_value": FIGURES,
+        "effect": st.sampled_from(list(EFFECTS)), "window": FIGURES,
+        "group": st.sampled_from(["all", "zone", "cell"]),
+    }),
+    min_size=1, max_size=5, unique_by=lambda c: c["name"],
+)  # fmt: skip
+PLANS = st.lists(
+    st.fixed_dictionaries({
+        "name": NAMES, "quota_rate": FIGURES, "most_at_once": FIGURES, "pays": FIGURES,
+        "extra_worth": FIGURES, "excess_cost": FIGURES, "cap_rate": FIGURES,
+        "never_over_depth": FIGURES, "hard_slack": FIGURES,
+    }),
+    min_size=1, max_size=5, unique_by=lambda p: p["name"],
+)  # fmt: skip
+DEPLOYMENTS = st.fixed_dictionaries({
+    "balancers": st.integers(3, 300), "me": st.integers(0, 2), "tick": FIGURES, "zone": st.integers(0, 3),
+    "zones": st.lists(NAMES, max_size=4, unique=True), "classes": CLASSES, "tiers_of_service": PLANS,
+    "domain": st.fixed_dictionaries({
+        "shared_counter": st.booleans(), "counter_timeout": FIGURES, "units_top": FIGURES,
+        "trued_up": st.booleans(), "meter_period": FIGURES,
+    }),
+    "ceilings": st.fixed_dictionaries({
+        "try_limit": st.integers(1, 9), "cancelling": st.booleans(), "parallel_tries": st.booleans(),
+        "probes": st.booleans(), "conn_idle": FIGURES, "dial_timeout": FIGURES, "max_retry_after": FIGURES,
+    }),
+    "invariants": st.fixed_dictionaries({
+        "cold": FIGURES, "cold_from": FIGURES, "fall": FIGURES, "fall_multiple": FIGURES,
+        "ask_within": FIGURES,
+    }),
+    "prices": st.fixed_dictionaries({"cross_zone": FIGURES}),
+    "discovery": st.sampled_from(["pushed", "on_request"]),
+})  # fmt: skip
+
+
+@given(DEPLOYMENTS)
+@hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+def test_all_that_decisions_use_is_what_this_deployment_tells(d: dict[str, Any]) -> None:
+    # Guards each deployment against the figures of another, and against defaults in place of what it says.
+    config = make_config(told(settings=d), {})
+    s = config.house.settings
+    domain, ceilings, rules = d["domain"], d["ceilings"], d["invariants"]
+    assert (s.gateways, s.me, s.zone, s.tick) == (d["balancers"], d["me"], d["zone"], d["tick"])
+    assert [
+        (c.aim, c.deadline, c.worth, c.late_worth, c.effect, c.group.value, c.window) for c in s.classes
+    ] == [
+        (c["aim"], c["deadline"], c["credit"], c["late_value"], EFFECTS[c["effect"]], c["group"], c["window"])
+        for c in d["classes"]
+    ]
+    assert [
+        (p.rate, p.burst, p.price, p.over_worth, p.over_cost, p.ceiling_rate, p.ceiling_burst,
+         p.ceiling_slack)
+        for p in s.plans
+    ] == [
+        (p["quota_rate"], p["most_at_once"], p["pays"], p["extra_worth"], p["excess_cost"], p["cap_rate"],
+         p["never_over_depth"], p["hard_slack"])
+        for p in d["tiers_of_service"]
+    ]  # fmt: skip
+    assert (s.counter, s.counter_timeout, s.most_units, s.settles, s.meter_period) == (
+        domain["shared_counter"], domain["counter_timeout"], domain["units_top"], domain["trued_up"],
+        domain["meter_period"],
+    )  # fmt: skip
+    assert (s.max_attempts, s.cancel, s.parallel, s.probes, s.max_retry_after) == (
+        ceilings["try_limit"], ceilings["cancelling"], ceilings["parallel_tries"], ceilings["probes"],
+        ceilings["max_retry_after"],
+    )  # fmt: skip
+    assert (s.cold, s.cold_from, s.fall, s.fall_multiple, s.ask_within) == (
+        rules["cold"], rules["cold_from"], rules["fall"], rules["fall_multiple"], rules["ask_within"]
+    )  # fmt: skip
+    assert s.cross_zone_price == d["prices"]["cross_zone"]
+    assert s.list_on_request is (d["discovery"] == "on_request")
+    assert config.zones == tuple(d["zones"])
+    assert s.keeps_open < ceilings["conn_idle"]
+    assert config.house.dial_timeout.total_seconds() <= ceilings["dial_timeout"]
+    assert config.trade.kinds == {
+        c["name"]: (n, "GET" if c["effect"] == "retryable" else "POST") for n, c in enumerate(d["classes"])
+    }
+    assert config.trade.tariffs == {p["name"]: n for n, p in enumerate(d["tiers_of_service"])}
+    assert (config.trade.most_units, config.trade.ingresses) == (domain["units_top"], d["balancers"])
