Walk the states of both sides' connections in models, and test signals, starts and handovers that cross

Found right, kept as guards: SIGTERM twice with SIGHUP between while a stock node hangs (one answer, exit 0); a start without node list and counter; an old process that dies in the middle of handing over. tests/test_client_states.py: a client connection is silent, arriving, body, asking or kept; nothing is closed while an answer is owed, nothing is left half read. tests/test_line_states.py learns that an idle connection settles, and lists that drain, end and restart nodes: nothing is written to a node that gets nothing more, or to another process of it.

--- a/tests/desk.py
+++ b/tests/desk.py
@@ -79,6 +79,17 @@
                 self.up.add(effect.line)
                 self.step(ev.LineUp(effect.line))
 
+    def bring_up_list(self) -> None:
+        """The connection for the node list comes up, and no other."""
+        for effect in list(self.out):
+            if isinstance(effect, fx.OpenLine) and effect.party is fx.Party.NODE_LIST:
+                if effect.line not in self.up:
+                    self.up.add(effect.line)
+                    self.step(ev.LineUp(effect.line))
+
+    def next_version(self) -> int:
+        return (self.reducer.books.list_version or 0) + 1
+
     def order(
         self,
         kind: int,
--- /dev/null
+++ b/tests/test_client_states.py
@@ -0,0 +1,171 @@
+"""A model of a client connection's states, and random steps checked against it."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from enum import Enum
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from opalgauge.memory import effects as fx
+from opalgauge.memory import events as ev
+from starlinggap.interface import End
+from tests.desk import CHECK, PLACE, Desk
+
+
+class State(Enum):
+    """As docs/architecture.md has them; one that has ended, or was told to, is not kept."""
+
+    SILENT = "silent"
+    ARRIVING = "arriving"
+    BODY = "body"
+    ASKING = "asking"
+    KEPT = "kept"
+
+
+QUIET = (State.SILENT, State.ARRIVING, State.KEPT)  # those that may be closed: nothing is owed over them
+
+
+class ClientConnections(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.desk = Desk(most_clients=6, crowd=4, counter_address="")
+        self.model: dict[int, State] = {}
+        self.orders: dict[int, int] = {}  # open orders, and whose
+        self.draining = self.grace_over = False
+        self.came = self.read = 0
+        self.follow()
+
+    def follow(self) -> None:
+        """Moves the model by the effects alone; an effect that its state forbids fails."""
+        for effect in self.desk.out[self.read :]:
+            if isinstance(effect, fx.CloseClient):
+                assert self.model.pop(effect.client) in QUIET, "closed while something is owed over it"
+            elif isinstance(effect, fx.AnswerClient):
+                client = self.orders.pop(effect.order)
+                assert self.model[client] is State.ASKING
+                assert effect.last or not self.draining, "a leaving ingress keeps a connection"
+                self.model[client] = State.KEPT
+            elif isinstance(effect, fx.Leave):
+                assert self.draining and not self.orders, "it leaves while an answer is owed"
+                assert not self.has(State.ARRIVING, State.BODY), "it leaves a request half read"
+        self.read = len(self.desk.out)
+
+    def step(self, event: ev.Event) -> None:
+        self.desk.step(event)
+        for n in range(self.read, 10**9):  # the counter's calls and their answers' own
+            if n == len(self.desk.out):
+                break
+            effect = self.desk.out[n]
+            if isinstance(effect, fx.OpenLine) and effect.party is not fx.Party.NODE_LIST:
+                self.desk.step(ev.LineUp(effect.line))
+            elif isinstance(effect, fx.CallCounter):
+                self.desk.step(ev.CounterAnswered(effect.line, End.OK, 1.0, True))
+        self.follow()
+
+    def some(self, pick: int, *states: State) -> int:
+        clients = sorted(n for n, s in self.model.items() if s in states)
+        return clients[pick % len(clients)]
+
+    def has(self, *states: State) -> bool:
+        return any(s in states for s in self.model.values())
+
+    @rule()
+    def comes(self) -> None:
+        self.came += 1
+        self.model[self.came] = State.SILENT
+        self.step(ev.ClientCame(self.came))
+
+    @precondition(lambda self: self.has(State.SILENT, State.KEPT, State.ARRIVING))
+    @rule(pick=st.integers(0, 9))
+    def begins_a_request(self, pick: int) -> None:
+        client = self.some(pick, State.SILENT, State.KEPT, State.ARRIVING)
+        self.model[client] = State.ARRIVING
+        self.step(ev.RequestBegun(client))
+
+    @precondition(lambda self: self.has(State.SILENT, State.KEPT, State.ARRIVING))
+    @rule(pick=st.integers(0, 9))
+    def has_sent_a_head(self, pick: int) -> None:
+        client = self.some(pick, State.SILENT, State.KEPT, State.ARRIVING)
+        self.model[client] = State.BODY
+        self.step(ev.BodyComing(client))
+
+    @precondition(lambda self: self.has(State.SILENT, State.KEPT, State.ARRIVING, State.BODY))
+    @rule(pick=st.integers(0, 9), kind=st.sampled_from([CHECK, PLACE]), left=st.integers(50, 3000))
+    def asks(self, pick: int, kind: int, left: int) -> None:
+        client = self.some(pick, State.SILENT, State.KEPT, State.ARRIVING, State.BODY)
+        self.desk.number = number = self.desk.number + 1
+        self.model[client], self.orders[number] = State.ASKING, client
+        errand = ev.Errand("GET", "/stock-check", f"id-{number}", (), b"")
+        self.step(ev.OrderTaken(number, errand, kind, 0, number, timedelta(milliseconds=left), 1.0, 2, 0,
+                                False, client))  # fmt: skip
+
+    @precondition(lambda self: self.has(State.ARRIVING, State.BODY))
+    @rule(pick=st.integers(0, 9))
+    def is_answered_that_it_cannot_be_read(self, pick: int) -> None:
+        client = self.some(pick, State.ARRIVING, State.BODY)
+        self.model[client] = State.KEPT
+        self.step(ev.RequestOver(client))
+
+    @precondition(lambda self: bool(self.desk.reducer.books.attempts))
+    @rule(pick=st.integers(0, 9), end=st.sampled_from([End.OK, End.ERROR, End.FULL]))
+    def its_node_answers(self, pick: int, end: End) -> None:
+        attempts = sorted(self.desk.reducer.books.attempts.items())
+        self.step(ev.NodeAnswered(attempts[pick % len(attempts)][1].line, end, True, b""))
+
+    @precondition(lambda self: bool(self.model))
+    @rule(pick=st.integers(0, 9))
+    def leaves(self, pick: int) -> None:
+        client = self.some(pick, *State)
+        del self.model[client]
+        self.orders = {n: c for n, c in self.orders.items() if c != client}
+        self.step(ev.ClientLeft(client))
+
+    @rule(span=st.sampled_from([1, 90, 300, 1500, 2500]))
+    def time_passes(self, span: int) -> None:
+        self.desk.pass_time(timedelta(milliseconds=span))
+        self.follow()
+
+    @precondition(lambda self: not self.draining)
+    @rule(successor=st.booleans())
+    def is_asked_to_stop(self, successor: bool) -> None:
+        self.draining = True
+        self.step(ev.DrainAsked(successor))
+
+    @precondition(lambda self: self.draining and not self.grace_over)
+    @rule()
+    def the_grace_is_over(self) -> None:
+        self.grace_over = True
+        self.step(ev.GraceOver())
+        assert not self.has(State.SILENT, State.KEPT), "they are closed, and read before if need be"
+
+    @invariant()
+    def the_books_agree_with_the_model(self) -> None:
+        books = self.desk.reducer.books
+        there = {
+            **dict.fromkeys(books.silent, State.SILENT),
+            **dict.fromkeys(books.arriving, State.ARRIVING),
+            **dict.fromkeys(books.bodies, State.BODY),
+            **dict.fromkeys(books.asking, State.ASKING),
+            **dict.fromkeys(books.kept, State.KEPT),
+        }
+        assert there == self.model
+        sets = (books.silent, books.arriving, books.bodies, books.asking, books.kept)
+        assert sum(map(len, sets)) == len(self.model), "in one state at a time"
+        assert {o.number: o.client for o in books.orders.values()} == self.orders
+
+    def teardown(self) -> None:
+        """Whatever happened: every order has its answer, and one that was asked to stop leaves."""
+        self.desk.pass_time(timedelta(seconds=8))
+        self.follow()
+        assert not self.orders and not self.has(State.SILENT, State.ARRIVING, State.KEPT)
+        if self.draining and self.grace_over and not self.has(State.BODY):
+            assert self.desk.reducer.books.left
+
+
+ClientConnections.TestCase.settings = settings(
+    derandomize=True, deadline=None, max_examples=60, stateful_step_count=40, database=None
+)
+TestClientConnections = ClientConnections.TestCase
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -213,3 +213,25 @@
     for hello in (said, record.hello(mine)[:-3] + said, said + record.hello(mine)):
         if hello.removesuffix(b"\n") != record.hello(mine).removesuffix(b"\n"):
             assert record.answer(hello, mine, lambda: {"a": 1}, START) in (record.STRANGER, record.UNUSABLE)
+
+
+@pytest.mark.parametrize("said", [b"", record.write({"a": 1}, START)[:-3], b"unknown\n", b"x" * 100_000])
+def test_an_old_process_that_dies_in_the_middle_of_handing_over_is_left(said: bytes, tmp_path: Path) -> None:
+    async def scene() -> None:
+        async def old(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readline()
+            writer.write(said)
+            writer.close()
+            server.close()
+
+        server = await asyncio.start_unix_server(old, str(tmp_path / NAME))
+        heard, told = list[ev.Event](), list[str]()
+        new = Kin(str(tmp_path), lambda: {}, heard.append, lambda: START, told.append)
+        await new.start()
+        while not heard or heard[-1] != ev.KinSeen(1) or new.server is None:
+            await asyncio.sleep(0)
+        assert not [e for e in heard if isinstance(e, ev.MemoryHanded)]
+        assert len(told) == 1 and told[0].startswith("handover: the old process hands over nothing")
+        new.close()
+
+    asyncio.run(asyncio.wait_for(scene(), 20))
--- a/tests/test_line_states.py
+++ b/tests/test_line_states.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -11,17 +11,24 @@
 from opalgauge.memory import effects as fx
 from opalgauge.memory import events as ev
 from opalgauge.memory.state import Stage
-from starlinggap.interface import End
-from tests.desk import CHECK, PLACE, Desk
+from starlinggap.interface import End, Health, ListKind
+from tests.desk import CHECK, PLACE, Desk, node
 
 
 class Lines(RuleBasedStateMachine):
-    """The model: each connection is opening, idle or busy until it ends, and knows nothing of the reducer."""
+    """The model: each connection is opening, idle or busy until it ends, and knows nothing of the reducer.
+
+    An idle one settles first: until then it carries nothing.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.desk = Desk(most_lines=4, nodes=2)
         self.model: dict[int, Stage] = {}
+        self.rested: dict[int, datetime] = {}
+        self.listed = dict.fromkeys((1, 2), Health.READY)
+        self.started = dict.fromkeys((1, 2), 0.0)
+        self.process: dict[int, tuple[int, float]] = {}  # which a connection was opened to
         self.open_orders: set[int] = set()
         self.read = 0
         self.follow()
@@ -31,9 +38,17 @@
         for effect in self.desk.out[self.read :]:
             if isinstance(effect, fx.OpenLine) and effect.party is fx.Party.STOCK_NODE:
                 self.model[effect.line] = Stage.OPENING
+                number = int(effect.address[-1])
+                self.process[effect.line] = (number, self.started[number])
             elif isinstance(effect, fx.SendAttempt):
                 assert self.model[effect.line] in (Stage.IDLE, Stage.OPENING)
+                if self.model[effect.line] is Stage.IDLE:
+                    settled = self.desk.now - self.rested[effect.line]
+                    assert settled >= self.desk.reducer.house.settling, "it has not settled"
                 self.model[effect.line] = Stage.BUSY
+                number, started = self.process[effect.line]
+                assert self.listed[number] is Health.READY, "written to a node that is to get nothing more"
+                assert self.started[number] == started, "written to a connection to a process that is gone"
             elif isinstance(effect, fx.CloseLine):
                 self.model.pop(effect.line, None)
             elif isinstance(effect, fx.AnswerClient):
@@ -66,6 +81,20 @@
                 self.desk.step(ev.CounterAnswered(effect.line, End.OK, 1.0, True))
         self.follow()
 
+    @rule(number=st.integers(1, 2), health=st.sampled_from([*Health]), again=st.booleans())
+    def list_tells(self, number: int, health: Health, again: bool) -> None:
+        """A stock node drains, goes, is back; perhaps as another process."""
+        self.listed[number] = health
+        self.started[number] += again
+        watch = self.desk.list_question().line
+        if watch not in self.desk.reducer.books.lines:
+            self.desk.pass_time(timedelta(milliseconds=100))
+            self.desk.bring_up_list()
+            watch = self.desk.list_question().line
+        entry = node(number, health, self.started[number])
+        self.desk.step(ev.NodeListAnswered(watch, True, self.desk.next_version(), ListKind.CHANGES, (entry,)))
+        self.follow()
+
     @precondition(lambda self: self.has(Stage.OPENING))
     @rule(pick=st.integers(0, 9))
     def comes_up(self, pick: int) -> None:
@@ -78,7 +107,7 @@
     @rule(pick=st.integers(0, 9), end=st.sampled_from([End.OK, End.ERROR, End.FULL]), keep=st.booleans())
     def answers(self, pick: int, end: End, keep: bool) -> None:
         line = self.some(Stage.BUSY, pick)
-        self.model[line] = Stage.IDLE
+        self.model[line], self.rested[line] = Stage.IDLE, self.desk.now
         self.desk.step(ev.NodeAnswered(line, end, keep, b""))
         self.follow()
         assert keep or line not in self.model
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -333,3 +333,39 @@
             assert await ingress.process.wait() == 0
 
     asyncio.run(scene())
+
+
+def test_signals_that_cross_end_the_ingress_once_and_its_client_has_its_answer() -> None:
+    # The stock node hangs, so that the order has nothing left but its time; SIGTERM comes twice, and SIGHUP.
+    async def scene() -> None:
+        async with town_with(town.silent) as (ingress, nodes, _):
+            held = asyncio.create_task(ingress.raw(town.request("POST", "/place-order", left="1.0")))
+            while not nodes.requests:
+                await asyncio.sleep(0.01)
+            for sign in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+                ingress.process.send_signal(sign)
+            answer = await held
+            assert status(answer) in (502, 504) and b"connection: close" in answer.lower()
+            assert ingress.process.stderr is not None
+            said = await asyncio.wait_for(ingress.process.stderr.read(), 60)
+            assert await ingress.process.wait() == 0
+            assert said.count(b"asked to stop") == 1 and b"fault" not in said
+            assert len(nodes.requests) == 1
+
+    asyncio.run(scene())
+
+
+def test_a_start_needs_neither_the_node_list_nor_the_counter() -> None:
+    # Guards a whole deployment that starts at once while discovery is down.
+    async def scene() -> None:
+        async with town.party(lambda r, w: town.OK) as (node, _):
+            nobody = f"127.0.0.1:{town.free_port()}"
+            async with town.starting(node, nobody, nobody) as ingress:
+                assert ingress.process.stderr is not None
+                while b"ready" not in await asyncio.wait_for(ingress.process.stderr.readline(), 60):
+                    assert ingress.process.returncode is None
+                assert status(await ingress.raw(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")) == 200
+                answer = await ingress.raw(town.request("POST", "/place-order", left="2.0"))
+                assert status(answer) == 200
+
+    asyncio.run(scene())
