--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import json
 import socket
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -28,6 +29,7 @@
 from tests import town
 from tests.desk import SETTINGS, START, house
 
+MS = timedelta(milliseconds=1)
 ALONE = replace(SETTINGS, counter=False)  # no counter: nothing stands between a request and its attempt
 
 
@@ -199,6 +201,29 @@
             exchange.timer.cancel()
 
 
+async def first(here: Scene) -> tuple[int, Peer]:
+    """The stock node that gets the next connection, and that."""
+    ready = [asyncio.create_task(party.peer()) for party in here.nodes]
+    done, late = await asyncio.wait(ready, return_when=asyncio.FIRST_COMPLETED)
+    for task in late:
+        task.cancel()
+    number = next(n for n, task in enumerate(ready) if task in done)
+    return number, ready[number].result()
+
+
+def check(name: str, left: str = "1.0") -> bytes:
+    return town.request("GET", "/stock-check", left=left, name=name)
+
+
+def place(name: str) -> bytes:
+    return town.request("POST", "/place-order", left="2.0", name=name)
+
+
+def tell(watch: Peer, seq: object, *hosts: object, whole: object = False, indent: int | None = None) -> None:
+    """The node list's answer to a watch."""
+    watch.say(told(json.dumps({"seq": seq, "whole": whole, "hosts": hosts}, indent=indent).encode()))
+
+
 def play(what: Callable[[], Awaitable[None]]) -> None:
     """On the loop that the program runs on: loops differ in what they read and tell in one turn."""
     uvloop.run(asyncio.wait_for(what(), 60))
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -15,23 +15,14 @@
 from opalgauge.memory.state import Stage
 from starlinggap import interface as i
 from tests import town
-from tests.crossing import ALONE, Peer, Scene, play, scene, told, until
+from tests.crossing import ALONE, MS, Peer, Scene, check, first, place, play, scene, told, until
 from tests.desk import SETTINGS
 
-MS = timedelta(milliseconds=1)
 KEYED = replace(
     ALONE, classes=(ALONE.classes[0], replace(ALONE.classes[1], effect=i.Effect.KEYED, window=0.3))
 )
 
 
-def check(name: str, left: str = "1.0") -> bytes:
-    return town.request("GET", "/stock-check", left=left, name=name)
-
-
-def place(name: str) -> bytes:
-    return town.request("POST", "/place-order", left="2.0", name=name)
-
-
 async def first_unless(
     here: Scene, reading: asyncio.Task[list[tuple[Peer, str, float]]]
 ) -> tuple[int, Peer]:
@@ -47,16 +38,6 @@
     return await getting
 
 
-async def first(here: Scene) -> tuple[int, Peer]:
-    """The stock node that gets the next connection, and that."""
-    ready = [asyncio.create_task(p.peer()) for p in here.nodes]
-    done, late = await asyncio.wait(ready, return_when=asyncio.FIRST_COMPLETED)
-    for task in late:
-        task.cancel()
-    number = next(n for n, task in enumerate(ready) if task in done)
-    return number, ready[number].result()
-
-
 def sent(here: Scene) -> int:
     return sum(len(p.all) for p in here.nodes)
 
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -14,13 +14,7 @@
 from opalgauge.memory.events import DrainAsked, GraceOver
 from opalgauge.wire import clients as wire
 from tests import town
-from tests.crossing import Scene, play, scene, told, until
-
-MS = timedelta(milliseconds=1)
-
-
-def check(name: str) -> bytes:
-    return town.request("GET", "/stock-check", name=name)
+from tests.crossing import Scene, check, play, scene, told, until
 
 
 class Caller:
@@ -220,7 +214,11 @@
         async with scene() as here:
             caller = Caller(here, small=True)
             await last_answer(here, caller)
+            ((connection, _),) = here.clients.numbers.items()
+            assert isinstance(connection, wire.Handler)
             caller.say(check("behind"))
+            await until(lambda: connection.dropped)
+            assert not connection._messages, "it is not even read as a request"
             assert (await caller.rest()).endswith(BODY)
             assert not here.books.orders and here.books.tally.tries == 1
 
--- a/tests/test_crossings_upstream.py
+++ b/tests/test_crossings_upstream.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import json
 from dataclasses import replace
 from datetime import timedelta
 
@@ -13,14 +11,7 @@
 from opalgauge.memory.events import MaintAsked
 from opalgauge.memory.state import Stage
 from starlinggap import interface as i
-from tests import town
-from tests.crossing import ALONE, Peer, Scene, play, scene, told, until
-
-MS = timedelta(milliseconds=1)
-
-
-def tell(watch: Peer, seq: int, *hosts: object, whole: bool = False) -> None:
-    watch.say(told(json.dumps({"seq": seq, "whole": whole, "hosts": hosts}).encode()))
+from tests.crossing import ALONE, MS, Scene, check, first, place, play, scene, tell, told, until
 
 
 def to_nodes(here: Scene, stage: Stage) -> int:
@@ -28,14 +19,6 @@
     return sum(line.party is Whom.STOCK_NODE and line.stage is stage for line in lines)
 
 
-def check(name: str, left: str = "1.0") -> bytes:
-    return town.request("GET", "/stock-check", left=left, name=name)
-
-
-def place(name: str) -> bytes:
-    return town.request("POST", "/place-order", left="2.0", name=name)
-
-
 def test_a_second_answer_that_comes_late_is_not_given_to_the_next_request() -> None:
     # Guards against using a connection while what belongs to its last request may still be on its way there.
     async def what() -> None:
@@ -100,11 +83,7 @@
             if change != "restarted":
                 peer = await here.nodes[1 - number].peer()
             else:  # the new process may well be chosen: by what is listed now
-                ready = [asyncio.create_task(p.peer()) for p in here.nodes]
-                done, late = await asyncio.wait(ready, return_when=asyncio.FIRST_COMPLETED)
-                for task in late:
-                    task.cancel()
-                peer = done.pop().result()
+                _, peer = await first(here)
             await peer.request()
             assert sum(len(p.all) for p in here.nodes) == 1, "the first dial was given up"
             peer.say(told(b"one"))
@@ -125,23 +104,21 @@
     async def what() -> None:
         async with scene(nodes=2, settings=KEYED, dial_timeout=timedelta(seconds=1)) as here:
             answer = await here.ask(place("one"))
-            ready = [asyncio.create_task(p.peer()) for p in here.nodes]
-            done, rest = await asyncio.wait(ready, return_when=asyncio.FIRST_COMPLETED)
-            first = done.pop().result()
-            await first.request()
+            number, old = await first(here)
+            await old.request()
             here.exchange.gate.clear()
-            first.writer.close()  # after the request's last byte: it may have run
+            old.writer.close()  # after the request's last byte: it may have run
             await until(lambda: to_nodes(here, Stage.OPENING))
             here.pass_time((400 if late else 100) * MS)
             here.exchange.gate.set()
             if late:
                 status = int((await answer).split(b" ")[1])
                 assert status in (429, 502) and not here.books.attempts and not to_nodes(here, Stage.BUSY)
-                second = await rest.pop()
+                second = await here.nodes[1 - number].peer()
                 here.pass_time(timedelta(seconds=10))  # the connection, unused, is closed at the idle limit
                 assert await second.ended() == b""
             else:
-                second = await rest.pop()
+                second = await here.nodes[1 - number].peer()
                 assert b"one" in await second.request()
                 second.say(told(b"one"))
                 assert (await answer).endswith(b"one")
@@ -187,11 +164,7 @@
             here.pass_time(260 * MS)  # past the dial's limit: the decisions go to the other node
             assert to_nodes(here, Stage.OPENING) == here.books.node_lines == 1
             here.exchange.gate.set()
-            ready = [asyncio.create_task(p.peer()) for p in here.nodes]
-            done, late = await asyncio.wait(ready, return_when=asyncio.FIRST_COMPLETED)
-            for task in late:
-                task.cancel()
-            peer = done.pop().result()
+            _, peer = await first(here)
             await peer.request()
             peer.say(told(b"one"))
             assert (await answer).endswith(b"one")
--- a/tests/test_crossings_watch.py
+++ b/tests/test_crossings_watch.py
@@ -11,14 +11,7 @@
 
 from opalgauge.memory.events import Readdressed
 from opalgauge.wire.line import LineProtocol
-from tests import town
-from tests.crossing import Party, Peer, Scene, play, scene, told, until
-
-MS = timedelta(milliseconds=1)
-
-
-def tell(watch: Peer, seq: object, *hosts: object, whole: object = False, indent: int | None = None) -> None:
-    watch.say(told(json.dumps({"seq": seq, "whole": whole, "hosts": hosts}, indent=indent).encode()))
+from tests.crossing import MS, Party, Peer, Scene, place, play, scene, tell, told, until
 
 
 async def asked(here: Scene, party: Party | None = None) -> tuple[Peer, str]:
@@ -46,7 +39,7 @@
 async def goes_to(here: Scene, number: int) -> None:
     """A new request is sent to that stock node and to no other."""
     before = [len(p.all) for p in here.nodes]
-    answer = await here.ask(town.request("POST", "/place-order", left="2.0", name=f"new-{number}"))
+    answer = await here.ask(place(f"new-{number}"))
     peer = await here.nodes[number].peer()
     await peer.request()
     after = [len(p.all) for p in here.nodes]
