Wait at the end for what lies unread, too

Clients.close ended connections at once where none was being read or written, also one with a whole request unread in the kernel; 50 ms of pause before it hid that, but for a loop that had stood still. Clients._unfinished looks at what is unread. The test takes close's first step before the loop has turned, and its node answers later than a forced end waits: it fails without the change.

--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -313,12 +313,14 @@
         await self.server.shutdown(timeout=0.1)
 
     def _unfinished(self, connection: RequestHandler) -> bool:
-        """Whether a last answer is still on its way, or a request is being read."""
+        """Whether a last answer is still on its way, or a request is being read or waits to be."""
         transport = connection.transport
         if transport is None:
             return False
         lingering = isinstance(connection, Handler) and connection.lingering
-        return lingering or transport.get_write_buffer_size() > 0 or not self._quiet(connection)
+        if lingering or transport.get_write_buffer_size() > 0 or not self._quiet(connection):
+            return True
+        return bool(unread(transport))
 
     def _quiet(self, connection: RequestHandler) -> bool:
         """Whether it has asked nothing, or not all of it: else an order is on its way, and a close would
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -72,11 +72,12 @@
     here.exchange.report(GraceOver())
 
 
-async def served(here: Scene, name: str) -> None:
+async def served(here: Scene, name: str, took: float = 0.0) -> None:
     """The one stock node gets that request, and answers it."""
     while True:
         peer = await here.nodes[0].peer()
         if name.encode() in await peer.request():
+            await asyncio.sleep(took)
             peer.say(told(name.encode()))
             return
 
@@ -171,10 +172,10 @@
             caller.say(check("late"))
             drain(here)
             assert here.left
-            closing = asyncio.create_task(here.clients.close())
-            await served(here, "late")
+            serving = asyncio.create_task(served(here, "late", took=0.3))  # longer than a forced end waits
+            await here.clients.close()  # its first step is taken before the loop has turned
+            await serving
             assert (await caller.answer()).endswith(b"late")
-            await closing
 
     play(what)
 
