Ask after a zone in doubt where no other ingress is heard

Health._opinion wants three failures in a row; after one or two the decisions keep away from the nodes that failed, so the third may never come while nobody is heard whose failures would do.

Watch._doubt has another node of such a zone tried each 150 ms (each 500 ms once one has answered), and of one that was in use and has been silent for 500 ms, where no peer is heard. A good trial is no good end: nodes may answer trials and fail at requests.

--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -538,6 +538,8 @@
         if event.trial and self.house.settings.probes:
             self._probe(i.Probe(event.trial))  # costs no client's request
             event = replace(event, trial=0)
+        elif event.trial and event.share > 0:
+            event = replace(event, trial=0)  # no client's request is spent on a doubt
         self.news.append(i.ZoneShare(event.zone, event.share, event.trial))
 
     def _stop(self, attempt: Attempt) -> None:
--- a/opalgauge/zones/health.py
+++ b/opalgauge/zones/health.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from enum import IntEnum
+from itertools import takewhile
 from statistics import median
 
 from starlinggap.interface import End
@@ -56,12 +57,17 @@
         if zone < len(self.zones):
             self.out[key] = zone, node, kind, now
 
-    def ended(self, key: tuple[int, int], end: End, now: datetime) -> None:
-        """An end that says nothing of the zone (turned away, called off) only ends it."""
+    def ended(self, key: tuple[int, int], end: End, now: datetime, trial: bool = False) -> None:
+        """An end that says nothing of the zone (turned away, called off) only ends it.
+
+        Nor does a trial's good end: nodes may answer trials and fail at requests.
+        """
         zone, node, kind, since = self.out.pop(key, (-1, 0, 0, now))
         if zone < 0:
             return
         took = (now - since).total_seconds()
+        if end is End.OK and trial:
+            return
         if end is End.OK:
             usual = self.usual[kind]
             self.zones[zone].ends.append((now, node, True))
@@ -95,6 +101,16 @@
                 late[zone_number].append(node)
         return [self._opinion(n, pace, late[n], sizes[n]) for n in range(len(self.zones))]
 
+    def quiet(self, zone: int, now: datetime) -> timedelta:
+        """For how long nothing has ended there; none where nothing is known of late."""
+        ends = self.zones[zone].ends
+        return now - ends[-1][0] if ends else timedelta(0)
+
+    def row(self, zone: int) -> list[int]:
+        """The nodes at which it failed since anything there ended well, the newest first."""
+        ends = reversed(self.zones[zone].ends)
+        return [node for _, node, _ in takewhile(lambda end: not end[2], ends)]
+
     def _overdue(self, kind: int) -> float:
         return max(OVERDUE_LEAST.total_seconds(), OVERDUE * self.usual[kind])
 
@@ -103,11 +119,7 @@
 
     def _opinion(self, number: int, pace: list[float | None], late: list[int], size: int) -> Opinion:
         zone = self.zones[number]
-        row = list(late)  # the nodes at which it failed since anything there ended well
-        for _, node, good in reversed(zone.ends):
-            if good:
-                break
-            row.append(node)
+        row = [*late, *self.row(number)]
         enough = min(MOST_NODES, math.ceil(NODES_SHARE * size))
         if len(row) >= max(FEWEST, enough) and len(set(row)) >= enough:
             return Opinion.FAILING
--- a/opalgauge/zones/watch.py
+++ b/opalgauge/zones/watch.py
@@ -28,6 +28,7 @@
 FLAP = timedelta(seconds=30)  # left again within so long of a return: the hold doubles
 TRIALS = 2.0  # a second, of the whole fleet, to one zone
 AGAIN = timedelta(milliseconds=500)  # after a trial that was answered, the next
+ASKED = timedelta(milliseconds=150)  # between trials of a zone in doubt, by one who hears nobody
 TRIAL_LIFE = timedelta(seconds=4)
 GOOD_TRIALS = 2
 TOLD_WITHIN = timedelta(milliseconds=200)  # a word's way, and what its tenths round away
@@ -119,7 +120,7 @@
         self.health = Health(len(rules.zones), rules.usual)
         self.fleet = Fleet(rules.me, rules.ingresses)
         self.chance = random.Random(seed)
-        self.places = [Place(name, now, mark=now) for name in rules.zones]
+        self.places = [Place(name, now, mark=now, next_trial=now) for name in rules.zones]
         self.nodes: dict[int, ServerEntry] = {}
         self.said = now - WORDS
         self.changed = False
@@ -133,9 +134,9 @@
         zone = effect.zone
         if zone >= len(self.places):
             return
-        place, begun = self.places[zone], now - effect.took
+        place, begun, trial = self.places[zone], now - effect.took, effect.key[0] == 0
         if effect.end is None:
-            if place.state is not State.LEFT or not self.rules.acts:
+            if not trial and (place.state is not State.LEFT or not self.rules.acts):
                 place.last_try = now
             self.health.begun(effect.key, zone, effect.node, effect.kind, now)
             return
@@ -154,7 +155,9 @@
                 if good:  # whoever has an answer makes sure of it, and need not wait for its turn
                     place.next_trial = min(place.next_trial, now + AGAIN)
         else:
-            self.health.ended(effect.key, effect.end, now)
+            self.health.ended(effect.key, effect.end, now, trial)
+            if trial and effect.end is End.OK:
+                place.next_trial = max(place.next_trial, now + AGAIN)
 
     def heard(self, word: Word, now: datetime) -> None:
         self.fleet.hear(word, now)
@@ -180,7 +183,7 @@
             for place in self.places:
                 self._move(place, State.IN, "every zone fails, none is left", now, 1.0)
         for n, place in enumerate(self.places):
-            trial = self._trial(n, place, now) if place.state is State.LEFT else 0
+            trial = self._trial(n, place, now) if place.state is State.LEFT else self._doubt(n, place, now)
             moved = abs(place.share - place.told) >= STEP
             if trial or moved or (place.share != place.told and place.share in (0.0, 1.0)):
                 place.told = place.share
@@ -276,6 +279,21 @@
         there = sorted(e.server for e in self.nodes.values() if e.zone == n)
         return self.chance.choice(there) if there else 0
 
+    def _doubt(self, n: int, place: Place, now: datetime) -> int:
+        """Another node of a zone that has just failed or fallen silent, for who hears nobody.
+
+        The decisions keep away from nodes that failed, so its own requests there may never be enough to tell
+        whether the zone is gone or these nodes alone; with peers the fleet's are.
+        """
+        row = self.health.row(n)
+        doubtful = row or self.health.quiet(n, now) >= AGAIN
+        if not doubtful or now < place.next_trial or not self.fleet.cut_off(now):
+            return 0
+        place.next_trial = now + ASKED
+        there = sorted(e.server for e in self.nodes.values() if e.zone == n)
+        unasked = [server for server in there if server not in row]
+        return self.chance.choice(unasked or there) if there else 0
+
     def _turn(self, now: datetime) -> timedelta:
         """In which each ingress of the fleet makes one trial."""
         return timedelta(seconds=self.fleet.alive(now) / TRIALS)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -33,7 +33,7 @@
         self.watch = Watch(rules, T0, 1, 7)
         nodes = [entry(n + 1, zone=n // sizes) for n in range(3 * sizes)]
         self.watch.listed(nodes)
-        self.sizes, self.out = sizes, list[Action]()
+        self.sizes, self.out, self.tally = sizes, list[Action](), list[int]()
 
     def attempt(self, node: int, end: i.End, took: timedelta = 60 * MS) -> None:
         self.number += 1
@@ -94,6 +94,75 @@
     assert post.state() is State.LEFT
 
 
+def trials(post: Post) -> list[int]:
+    return [a.trial for a in post.out if isinstance(a, Judged) and a.trial]
+
+
+def tried(post: Post, node: int, end: i.End) -> None:
+    post.watch.seen(AttemptSeen((0, node), node, (node - 1) // post.sizes, 0), post.now - 20 * MS)
+    post.watch.seen(AttemptSeen((0, node), node, (node - 1) // post.sizes, 0, end, 20 * MS), post.now)
+
+
+def test_who_hears_nobody_asks_after_a_zone_that_its_own_requests_no_longer_reach() -> None:
+    post = Post()
+    post.busy(1000 * MS)
+    post.attempt(1, i.End.CONNECT_FAILED)
+    post.step()
+    assert len(trials(post)) == 1 and trials(post)[0] in (2, 3)  # not at the one that failed
+    for _ in range(20):
+        post.busy(100 * MS, skip=(1, 2, 3))  # the decisions send nothing there
+        for node in trials(post):
+            tried(post, node, i.End.CONNECT_FAILED)
+        post.out.clear()
+    assert post.state() is State.LEFT
+    assert post.watch.places[0].last_try is not None
+    assert post.watch.places[0].last_try < T0 + 1000 * MS  # a trial costs no request, and counts as none
+
+
+def test_a_doubt_is_asked_after_seldom_while_it_is_answered_and_not_at_all_where_peers_are_heard() -> None:
+    post = Post()
+    post.busy(1000 * MS)
+    paces = len(post.watch.health.zones[0].paces)
+    post.attempt(1, i.End.CONNECT_FAILED)
+    for _ in range(100):
+        post.step()
+        for node in trials(post):
+            tried(post, node, i.End.OK)
+        asked = trials(post)
+        post.out.clear()
+        post.tally += [node for node in asked if node <= 3]
+    assert post.state() is State.IN and 2 <= len(post.tally) <= 7  # for as long as a failure is remembered
+    assert len(post.watch.health.zones[0].paces) <= paces  # how soon a trial is answered is nobody's pace
+    post.peer(1, UNSURE, WELL, WELL)
+    post.attempt(1, i.End.CONNECT_FAILED)
+    post.step(1000 * MS)
+    assert trials(post) == []
+
+
+def test_answered_trials_do_not_hide_that_requests_fail() -> None:
+    post = Post()
+    post.busy(1000 * MS)
+    for _ in range(8):
+        post.busy(100 * MS, failing=(1, 2, 3))
+        for node in trials(post):
+            tried(post, node, i.End.OK)
+        post.out.clear()
+    assert post.state() is State.LEFT
+
+
+@pytest.mark.parametrize("drop", [0.5, 1.0])
+def test_five_who_hear_little_or_nothing_leave_a_zone_that_goes_every_time(drop: float) -> None:
+    for seed in range(25):
+        scene = Scene(
+            ingresses=5, nodes=3, rate=80.0, seconds=5.0, cold=4.0, cut=(1.5, 9.0), drop=drop, seed=seed
+        )
+        world = World(scene)
+        seen = world.play()
+        assert len(seen.left) == 5 and max(seen.left) < 4.9, (seed, seen.left)
+        assert seen.last_try is not None and seen.first_failed is not None
+        assert seen.last_try - seen.first_failed < 2.0, seed
+
+
 @pytest.mark.parametrize("sizes", [4, 12])
 def test_half_a_zone_gone_is_no_zone_gone(sizes: int) -> None:
     post = Post(sizes=sizes)
