Notice that a client has left while its long body lies unread

A body that is passed on is read no further while its request waits for a node: aiohttp pauses the transport at 512 KiB, and the loop meets a client's end by reading up to it alone. Such a request was sent on however long its client had been gone (line 15 of docs/design/crossings.md).

Clients._look asks the system each 100 ms, while a request with an unread body waits and its transport is paused, whether the other side has ended it, and ends the connection; the task ends with the wait. The test lets a dial wait until the client's end has been met: by a close and by a reset, it fails without the look.

--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -28,7 +28,7 @@
     RequestBegun,
     RequestOver,
 )
-from opalgauge.wire.descriptors import unread
+from opalgauge.wire.descriptors import has_ended, unread
 from opalgauge.wire.line import MOST_BODY, MOST_LONG
 
 BACKLOG = 512  # connections that wait to be accepted
@@ -42,6 +42,7 @@
 LINGER = 0.5  # s: so long a client's bytes are read behind its last answer, and
 MOST_LINGER = 256 * 1024  # bytes: so many of them
 LAST_WRITE = 0.5  # s: for answers that their clients are slow to take, when all leave
+LOOK = 0.1  # s between looks whether the client of a body that is not read on is still there
 LONGEST = 3600.0  # s: nobody waits longer for an answer
 # What says how a body is to be read goes with it, and so does the key by which stock nodes know a repeat.
 PASSED = ("Content-Type", "Content-Encoding", "Idempotency-Key")
@@ -411,12 +412,15 @@
         waiting = self.loop.create_future()
         self.waiting[order.order] = waiting
         self.busy.add(request.protocol)
+        look = None if whole else self.loop.create_task(self._look(request))
         try:
             self.report(order)
             effect, flow = await waiting
             if effect.flow:
                 return await self._pass_on(request, effect, flow)
         finally:
+            if look is not None:
+                look.cancel()
             del self.waiting[order.order]
             self.bodies.pop(order.order, None)
             if self.over is not None:
@@ -433,6 +437,13 @@
             await self._read_out(request, response, order.client)
         return await self._finish(request, response)
 
+    async def _look(self, request: web.BaseRequest) -> None:
+        """Guards against sending on a request whose client left while the rest of its body lay unread."""
+        while (transport := request.transport) is not None and not transport.is_closing():
+            if not transport.is_reading() and has_ended(transport):
+                transport.abort()
+            await asyncio.sleep(LOOK)
+
     async def _read_out(self, request: web.BaseRequest, response: web.Response, client: int) -> None:
         """The answer leaves at once; what still comes of the request's body is dropped.
 
--- a/opalgauge/wire/descriptors.py
+++ b/opalgauge/wire/descriptors.py
@@ -1,4 +1,4 @@
-"""A look at a transport's socket that the loop does not offer: what lies unread there, its end at once."""
+"""Looks at a transport's socket that the loop does not offer: what lies unread there, and its end."""
 
 from __future__ import annotations
 
@@ -7,6 +7,8 @@
 import socket
 from collections.abc import Iterator
 
+CLOSED, CLOSE_WAIT = 7, 8  # what the system calls a connection that was reset, and one whose peer has ended
+
 
 @contextlib.contextmanager
 def borrowed(transport: asyncio.BaseTransport) -> Iterator[socket.socket]:
@@ -33,3 +35,14 @@
         return None
     except (OSError, ValueError):
         return b""
+
+
+def has_ended(transport: asyncio.BaseTransport) -> bool:
+    """Whether the other side has ended it, also behind bytes that nobody has read. The loop hears of an end
+    by reading up to it, which it does not do while reading is paused."""
+    try:
+        with borrowed(transport) as held:
+            state = held.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    except (OSError, ValueError):
+        return False  # the loop is about to say so itself
+    return state in (CLOSED, CLOSE_WAIT)
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -386,6 +386,35 @@
     play(what)
 
 
+@pytest.mark.parametrize("how", ["a close", "a reset"])
+def test_a_client_that_leaves_while_its_long_body_lies_unread_is_not_sent_on(how: str) -> None:
+    # What waits for a node is read no further, and the loop would meet the client's end by reading alone.
+    begun, rest = 70 * 1024, 620 * 1024  # what is held of it, and what lies here and there
+
+    async def what() -> None:
+        async with scene() as here:
+            here.exchange.gate.clear()
+            _, writer = await here.client()
+            whole = town.request("POST", "/place-order", b"x" * (begun + rest), left="2.0", name="one")
+            writer.write(whole[:-rest])
+            await until(lambda: here.books.orders)
+            writer.write(whole[-rest:])
+            (connection,) = here.clients.numbers
+            await until(lambda: connection.transport is not None and not connection.transport.is_reading())
+            await until(lambda: writer.transport.get_write_buffer_size() == 0)
+            if how == "a close":
+                writer.close()
+            else:
+                Peer(asyncio.StreamReader(), writer).reset()
+            await until(lambda: not here.books.orders)
+            here.exchange.gate.set()
+            here.pass_time(100 * MS)
+            assert here.books.tally.tries == 0
+            nothing_left(here)
+
+    play(what)
+
+
 @pytest.mark.parametrize("ends", ["its sending side", "with a request behind"])
 def test_a_client_that_has_ended_is_gone(ends: str) -> None:
     # The end of the sending side cannot be told from a close; what stands behind is not read any more.
