Name the console's parts an admin endpoint, its commands and a ban file

The directive `console`, the log lines and the files on disk keep their names. Clients._take_in made a socket over a descriptor by itself; it uses descriptors.borrowed, which now takes the loop's socket.

--- a/opalgauge/console/shelf.py
+++ b/opalgauge/console/ban_file.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
-from opalgauge.console import marks as m
+from opalgauge.console import bans
 from opalgauge.memory.effects import KeepMarks
 from opalgauge.memory.events import Event, MaintMark, MarksFound
 from opalgauge.wire.node_list import node_number
@@ -17,7 +17,7 @@
 NAME, LOCK = "opalgauge.marks", "opalgauge.marks.lock"
 
 
-class Shelf:
+class BanFile:
     """Reads and replaces the file. What cannot be done is told in the log and changes nothing else."""
 
     def __init__(self, folder: str, log: Callable[[str], None]) -> None:
@@ -36,7 +36,7 @@
         """What lies there; nothing where it is missing or no whole record."""
         try:
             with open(self.folder / NAME, "rb") as file:
-                told = m.read(file.read(m.MOST + 1))
+                told = bans.read(file.read(bans.MOST + 1))
         except FileNotFoundError:
             return ()
         if told is None:
@@ -53,7 +53,7 @@
         """Whole or not at all: the new file takes the old one's place only when it is written."""
         try:
             with self._alone():
-                record = m.write(m.merge(self._read(), effect.marks))
+                record = bans.write(bans.merge(self._read(), effect.marks))
                 handle, name = tempfile.mkstemp(dir=self.folder, prefix=NAME)
                 try:
                     with os.fdopen(handle, "wb") as file:
--- a/opalgauge/console/words.py
+++ b/opalgauge/console/commands.py
@@ -1,4 +1,4 @@
-"""What staff can say at the door, and how it is answered. No I/O, no clock."""
+"""What staff can say at the endpoint, and how it is answered. No I/O, no clock."""
 
 from __future__ import annotations
 
--- a/opalgauge/console/door.py
+++ b/opalgauge/console/endpoint.py
@@ -1,4 +1,4 @@
-"""The door's edge: a listener, callers that may be silent, slow or rude, and one answer to each call."""
+"""The admin endpoint's edge: a listener, callers that may be silent or rude, one answer to each call."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from datetime import timedelta
 from typing import Any, cast
 
-from opalgauge.console import words
+from opalgauge.console import commands
 from opalgauge.memory.effects import AnswerStaff
 from opalgauge.memory.events import Event, MaintAsked
 from opalgauge.memory.state import Figures
@@ -22,47 +22,48 @@
 class Caller(asyncio.Protocol):
     """One connection: a line in, an answer out, the end."""
 
-    def __init__(self, door: Door) -> None:
-        self.door, self.number, self.line = door, 0, b""
+    def __init__(self, endpoint: AdminEndpoint) -> None:
+        self.endpoint, self.number, self.line = endpoint, 0, b""
         self.transport: asyncio.Transport | None = None
         self.asked = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.door.came(self)
+        self.endpoint.came(self)
 
     def data_received(self, data: bytes) -> None:
         if self.asked:
             return
-        self.line += data[: words.MOST_LINE + 1]
+        self.line += data[: commands.MOST_LINE + 1]
         line, end, _ = self.line.partition(b"\n")
-        if end or len(line) > words.MOST_LINE:
+        if end or len(line) > commands.MOST_LINE:
             self.asked = True
-            self.door.called(self, words.understand(line) if end else words.Wrong("a line too long"))
+            told = commands.understand(line) if end else commands.Wrong("a line too long")
+            self.endpoint.called(self, told)
 
     def eof_received(self) -> bool:
         if not self.asked:
             # A caller may end its sending in place of its line.
             self.asked = True
-            self.door.called(self, words.understand(self.line))
+            self.endpoint.called(self, commands.understand(self.line))
         return True  # it may still read
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        self.door.went(self)
+        self.endpoint.went(self)
 
     def answer(self, text: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(text)
-            if len(self.line) <= words.MOST_LINE:
+            if len(self.line) <= commands.MOST_LINE:
                 self.transport.close()
                 return
             # Guards the answer against the reset that a close sends where the caller is still writing.
             self.transport.write_eof()
-            asyncio.get_running_loop().call_later(DRAIN.total_seconds(), self.door._silent, self)
+            asyncio.get_running_loop().call_later(DRAIN.total_seconds(), self.endpoint._silent, self)
 
 
-class Door:
-    """Where staff call. It reads the reducer's figures and changes things by events alone."""
+class AdminEndpoint:
+    """Where operators call. It reads the reducer's figures and changes things by events alone."""
 
     def __init__(
         self,
@@ -109,31 +110,31 @@
         if caller.number in self.callers:
             self._drop(caller)
 
-    def called(self, caller: Caller, call: words.Call) -> None:
+    def called(self, caller: Caller, call: commands.Call) -> None:
         match call:
-            case words.Status():
+            case commands.Status():
                 refusal = self.refusal()
-                caller.answer(words.answer(not refusal, refusal or "serving"))
-            case words.Stats():
-                caller.answer(words.figures(self.figures(), self.kinds, self.more()))
-            case words.Maint(name, out):
+                caller.answer(commands.answer(not refusal, refusal or "serving"))
+            case commands.Stats():
+                caller.answer(commands.figures(self.figures(), self.kinds, self.more()))
+            case commands.Maint(name, out):
                 self.report(MaintAsked(caller.number, name, node_number(name), out))
-            case words.Wrong(why):
-                caller.answer(words.answer(False, why))
+            case commands.Wrong(why):
+                caller.answer(commands.answer(False, why))
 
     def answered(self, effect: AnswerStaff) -> None:
         """Carries out the reducer's answer; a caller that has left is owed none."""
         if caller := self.callers.get(effect.call):
-            caller.answer(words.answer(effect.yes, effect.text))
+            caller.answer(commands.answer(effect.yes, effect.text))
 
 
 @contextlib.asynccontextmanager
-async def door(address: tuple[str, int] | None, **more: Any) -> Any:
-    """An open door, or none where no address is told."""
+async def admin_endpoint(address: tuple[str, int] | None, **more: Any) -> Any:
+    """An open endpoint, or none where no address is told."""
     if address is None:
         yield None
         return
-    opened = Door(**more)
+    opened = AdminEndpoint(**more)
     await opened.listen(*address)
     try:
         yield opened
--- a/opalgauge/lab/fleet.py
+++ b/opalgauge/lab/fleet.py
@@ -52,10 +52,10 @@
     tariffs: tuple[Tariff, ...] = ()
     leases: str = "off"  # the directive
     replicate: bool = False
-    orders: tuple[tuple[float, int, str], ...] = ()  # when, at which ingress, what staff say at its door
+    orders: tuple[tuple[float, int, str], ...] = ()  # when, at which ingress, what its operators say
     garbage: tuple[tuple[float, int, int], ...] = ()  # when, to which ingress, how many datagrams of no sense
     skews: tuple[float, ...] = ()  # seconds that the ingresses' clocks are off
-    sample: float = 0.0  # seconds between looks at all doors; 0: none but those asked for
+    sample: float = 0.0  # seconds between looks at all figures; 0: none but those asked for
     shift: float = 6.0
     counter_work: float = 0.0  # seconds a call takes the counter
     counter_slow: tuple[float, float, float] = (0.0, 0.0, 1.0)  # from, until, how many times slower
@@ -74,7 +74,7 @@
     doubled: int = 0
     worth: float = 0.0  # answered within the aim, of what was asked
     overload: dict[str, float] = field(default_factory=dict)  # by zone, of its worst node from its return on
-    figures: list[tuple[float, list[dict[str, str]]]] = field(default_factory=list)  # the doors', when
+    figures: list[tuple[float, list[dict[str, str]]]] = field(default_factory=list)  # of all ingresses, when
     ends: list[tuple[float, str]] = field(default_factory=list)  # when asked, and how it ended
     logs: list[list[str]] = field(default_factory=list)
     verdicts: list[Verdict] = field(default_factory=list)  # of tries at accounts with quotas, in their times
@@ -101,7 +101,7 @@
         self.counter = Counter(plan.counter_work)
         self.counter_server: Any = None
         self.settings: list[Path] = []
-        self.doors: list[int] = []
+        self.admin_ports: list[int] = []
         self.addresses: list[int] = []
         self.listens: list[int] = []
         self.processes: list[asyncio.subprocess.Process] = []
@@ -126,7 +126,7 @@
         )
         quota = f"127.0.0.1:{self.counter_server.sockets[0].getsockname()[1]}"
         ports = free_ports(3 * plan.ingresses)
-        self.addresses, self.doors = ports[: plan.ingresses], ports[plan.ingresses : 2 * plan.ingresses]
+        self.addresses, self.admin_ports = ports[: plan.ingresses], ports[plan.ingresses : 2 * plan.ingresses]
         self.listens = listens = ports[2 * plan.ingresses :]
         for me in range(plan.ingresses):
             peers = []
@@ -138,7 +138,7 @@
             mine = await self.proxy.stream(f"counter.{me}", quota)
             file.write_text("\n".join([
                 f"name n{me}", f"listen 127.0.0.1:{self.addresses[me]}",
-                f"console 127.0.0.1:{self.doors[me]}", f"counter {mine}",
+                f"console 127.0.0.1:{self.admin_ports[me]}", f"counter {mine}",
                 f"ingresses {plan.ingresses}", f"number {me}", f"seed {plan.seed + me:x}",
                 "sites " + " ".join(zone_name(z) for z in range(plan.zones)),
                 f"site {zone_name(me % plan.zones)}", *node_lines, *peers,
@@ -183,10 +183,10 @@
         await self.processes[me].wait()
 
     async def say(self, me: int, what: str) -> str:
-        """What one ingress's door answers; empty where it does not within a second."""
+        """What one ingress's admin endpoint answers; empty where it does not within a second."""
         try:
             async with asyncio.timeout(1.0):
-                reader, writer = await asyncio.open_connection("127.0.0.1", self.doors[me])
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.admin_ports[me])
                 writer.write(f"{what}\n".encode())
                 told = (await reader.read()).decode()
                 writer.close()
@@ -194,7 +194,7 @@
             return ""
         return told
 
-    async def door(self, me: int) -> dict[str, str]:
+    async def stats(self, me: int) -> dict[str, str]:
         """The figures of one ingress."""
         told = await self.say(me, "stats")
         return dict(row.split("=", 1) for row in told.splitlines() if "=" in row)
@@ -330,7 +330,7 @@
 
 
 async def play(plan: Plan, looks: Sequence[float] = ()) -> Result:
-    """Plays a scene. `looks`: when the doors' figures are read, in seconds from its beginning."""
+    """Plays a scene. `looks`: when the figures are read, in seconds from its beginning."""
     result = Result()
     async with fleet(plan) as made:
         clients, chance = Clients(made, result), random.Random(plan.seed)
@@ -341,7 +341,7 @@
 
         async def look(when: float) -> None:
             await asyncio.sleep(max(0.0, began + when - loop.time()))
-            told = await asyncio.gather(*(made.door(me) for me in range(plan.ingresses)))
+            told = await asyncio.gather(*(made.stats(me) for me in range(plan.ingresses)))
             result.figures.append((when, list(told)))
 
         async def restart(when: float, me: int) -> None:
@@ -349,7 +349,7 @@
             await made.kill(me)
             made.killed[me] = loop.time()
             await made.launch(me)
-            result.at_ready.append((loop.time() - began, me, await made.door(me)))
+            result.at_ready.append((loop.time() - began, me, await made.stats(me)))
 
         async def order(when: float, me: int, what: str) -> None:
             await asyncio.sleep(max(0.0, began + when - loop.time()))
@@ -358,7 +358,7 @@
         async def samples() -> None:
             while loop.time() < began + plan.seconds:
                 when = loop.time() - began
-                told = await asyncio.gather(*(made.door(me) for me in range(plan.ingresses)))
+                told = await asyncio.gather(*(made.stats(me) for me in range(plan.ingresses)))
                 result.samples.append((when, list(told)))
                 await asyncio.sleep(plan.sample)
 
--- a/opalgauge/lifecycle/config.py
+++ b/opalgauge/lifecycle/config.py
@@ -54,7 +54,7 @@
     trade: Trade
     zones: tuple[str, ...]
     kinds: tuple[str, ...] = ()
-    console: tuple[str, int] | None = None  # where staff call; None: there is no such door
+    console: tuple[str, int] | None = None  # where staff call; None: there is none such
     listen_fd: int | None = None  # the clients' listening socket, where the platform holds it
     peering: Peering | None = None  # None: zones are not judged, and no datagram is sent
     settings_told: Any = None  # as they were told: whatever was learned under others is no good
--- a/opalgauge/lifecycle/directives.py
+++ b/opalgauge/lifecycle/directives.py
@@ -49,7 +49,7 @@
     "name": Directive((w.name,), "opalgauge", "this ingress, in its log lines"),
     "listen": Directive((w.address,), about="where clients connect"),
     "log": Directive((w.one_of("text", "json"),), "text", "key=value lines, or one JSON object a line"),
-    "console": Directive((w.address,), about="the operators' door; none: there is no such door", trade=True),
+    "console": Directive((w.address,), about="the admin endpoint; none: there is none such", trade=True),
     # --- cores
     "workers": Directive((w.positive,), 1, "processes that serve; one core each"),
     "stall-after": Directive(
--- a/opalgauge/lifecycle/service.py
+++ b/opalgauge/lifecycle/service.py
@@ -11,8 +11,8 @@
 
 import uvloop
 
-from opalgauge.console.door import door
-from opalgauge.console.shelf import Shelf
+from opalgauge.console.ban_file import BanFile
+from opalgauge.console.endpoint import admin_endpoint
 from opalgauge.lifecycle.config import Config, ConfigError, Peering, make_config
 from opalgauge.lifecycle.logs import Log, make_log, plain
 from opalgauge.lifecycle.sources import PlatformSource, Reading, Source
@@ -79,10 +79,10 @@
         report(NodesNamed(house.known))
 
 
-def watch_marks(loop: asyncio.AbstractEventLoop, shelf: Shelf, report: Callable[[Event], None]) -> None:
+def watch_marks(loop: asyncio.AbstractEventLoop, ban_file: BanFile, report: Callable[[Event], None]) -> None:
     """Looks now and then at what staff told this ingress's other process."""
-    shelf.look(report)
-    loop.call_later(MARKS_ROUND.total_seconds(), watch_marks, loop, shelf, report)
+    ban_file.look(report)
+    loop.call_later(MARKS_ROUND.total_seconds(), watch_marks, loop, ban_file, report)
 
 
 class Joined:
@@ -106,7 +106,7 @@
         self.wire.close()
 
     def figures(self) -> list[str]:
-        """Lines for the operators' door."""
+        """Lines for the admin endpoint."""
         lines = [line for part in self.parts for line in part.figures()]
         return [*lines, f"peers.words_sent={self.wire.sent}", f"peers.words_dropped={self.wire.dropped}"]
 
@@ -194,12 +194,12 @@
     loop.add_signal_handler(signal.SIGTERM, drain)
     loop.add_signal_handler(signal.SIGINT, drain)
     loop.add_signal_handler(signal.SIGHUP, reload)
-    shelf = Shelf(config.scratch, log) if config.console and config.scratch else None
-    if shelf is not None:
-        exchange.do[fx.KeepMarks] = shelf.keep
+    ban_file = BanFile(config.scratch, log) if config.console and config.scratch else None
+    if ban_file is not None:
+        exchange.do[fx.KeepMarks] = ban_file.keep
     joined = join(config, config.peering, exchange, clock, log) if config.peering is not None else None
     exchange.start()
-    async with door(
+    async with admin_endpoint(
         config.console,
         kinds=config.kinds,
         figures=exchange.reducer.figures,
@@ -209,8 +209,8 @@
     ) as opened:
         if opened is not None:
             exchange.do[fx.AnswerStaff] = opened.answered
-        if shelf is not None:
-            watch_marks(loop, shelf, exchange.report)
+        if ban_file is not None:
+            watch_marks(loop, ban_file, exchange.report)
         kin = None
         if shared and config.scratch:
             from opalgauge.handover.kin import Kin  # not loaded where no other process can be
--- a/opalgauge/memory/effects.py
+++ b/opalgauge/memory/effects.py
@@ -127,7 +127,7 @@
 
 @dataclass(slots=True)
 class AnswerStaff:
-    """The answer to a call at the operators' door."""
+    """The answer to a call at the admin endpoint."""
 
     call: int
     yes: bool
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -73,7 +73,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Figures:
-    """What the operators' door shows, at one instant."""
+    """What the admin endpoint shows, at one instant."""
 
     passed: tuple[int, ...]
     dropped: tuple[int, ...]
--- a/opalgauge/replica/channel.py
+++ b/opalgauge/replica/channel.py
@@ -131,7 +131,7 @@
         return [(node, started / 1000, kind, when(until).timestamp())]
 
     def figures(self) -> list[str]:
-        """Lines for the operators' door."""
+        """Lines for the admin endpoint."""
         kinds = [key[0] for key in self.store.items]
         return [
             f"replica.digest={self.store.digest()}",
--- a/opalgauge/shares/channel.py
+++ b/opalgauge/shares/channel.py
@@ -78,7 +78,7 @@
                     self.log(text)
 
     def figures(self) -> list[str]:
-        """Lines for the operators' door."""
+        """Lines for the admin endpoint."""
         leases, now = self.leases, self.now()
         since = leases.down_since
         away = sum(p.down for p in leases.peers.values())
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -28,7 +28,7 @@
     RequestBegun,
     RequestOver,
 )
-from opalgauge.wire.descriptors import has_ended, unread
+from opalgauge.wire.descriptors import borrowed, has_ended, unread
 from opalgauge.wire.line import MOST_BODY, MOST_LONG
 
 BACKLOG = 512  # connections that wait to be accepted
@@ -289,16 +289,13 @@
         self.stop_accepting()
 
     def _take_in(self, listening: Any) -> None:
-        door = socket.socket(listening.family, socket.SOCK_STREAM, 0, fileno=listening.fileno())
-        try:
+        with borrowed(listening) as held:
             while True:
-                accepted, _ = door.accept()
+                accepted, _ = held.accept()
                 accepted.setblocking(False)
                 task = self.loop.create_task(self.loop.connect_accepted_socket(self.server, accepted))
                 self.taking_in.add(task)
                 task.add_done_callback(self.taking_in.discard)
-        finally:
-            door.detach()
 
     async def close(self) -> None:
         """Ends what is left. Guards requests that had been read and were no order yet, or came in meanwhile,
--- a/opalgauge/wire/descriptors.py
+++ b/opalgauge/wire/descriptors.py
@@ -6,19 +6,19 @@
 import contextlib
 import socket
 from collections.abc import Iterator
+from typing import Any
 
 CLOSED, CLOSE_WAIT = 7, 8  # what the system calls a connection that was reset, and one whose peer has ended
 
 
 @contextlib.contextmanager
-def borrowed(transport: asyncio.BaseTransport) -> Iterator[socket.socket]:
-    """The transport's socket, for the moment.
+def borrowed(theirs: Any) -> Iterator[socket.socket]:
+    """The socket behind one of the loop's own, for the moment.
 
     It stands on the loop's own descriptor and lets go of it. Guards against closing that: its number
     would soon be another connection's, and bytes of one would go to the other. With its kind told, making
     it asks the system nothing.
     """
-    theirs = transport.get_extra_info("socket")
     held = socket.socket(theirs.family, socket.SOCK_STREAM, 0, fileno=theirs.fileno())
     try:
         yield held
@@ -29,7 +29,7 @@
 def unread(transport: asyncio.BaseTransport) -> bytes | None:
     """A byte that has come and was not read; empty at the connection's end, None where nothing has come."""
     try:
-        with borrowed(transport) as held:
+        with borrowed(transport.get_extra_info("socket")) as held:
             return held.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
         return None
@@ -41,7 +41,7 @@
     """Whether the other side has ended it, also behind bytes that nobody has read. The loop hears of an end
     by reading up to it, which it does not do while reading is paused."""
     try:
-        with borrowed(transport) as held:
+        with borrowed(transport.get_extra_info("socket")) as held:
             state = held.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
     except (OSError, ValueError):
         return False  # the loop is about to say so itself
--- a/opalgauge/wire/exchange.py
+++ b/opalgauge/wire/exchange.py
@@ -61,7 +61,7 @@
             fx.RecallOrder: lambda _: None,
             fx.WakeAt: self._wake_at,
             fx.StopAccepting: lambda _: self.clients.stop_accepting() if self.clients else None,
-            # Answered and kept where there is an operators' door; `opalgauge.console` puts its own here.
+            # Answered and kept where there is an admin endpoint; `opalgauge.console` puts its own here.
             fx.AnswerStaff: lambda _: None,
             fx.KeepMarks: lambda _: None,
             # Heard where zones are judged; `opalgauge.zones` puts its own here.
--- a/opalgauge/wire/line.py
+++ b/opalgauge/wire/line.py
@@ -324,7 +324,8 @@
         if self.transport is not None:
             # Guards against the loop's habit of closing a socket a turn later, when a further attempt would
             # already be out.
-            with contextlib.suppress(OSError, ValueError), borrowed(self.transport) as held:
+            theirs = self.transport.get_extra_info("socket")
+            with contextlib.suppress(OSError, ValueError), borrowed(theirs) as held:
                 held.shutdown(socket.SHUT_RDWR)
             self.transport.abort()
 
--- a/opalgauge/zones/channel.py
+++ b/opalgauge/zones/channel.py
@@ -77,7 +77,7 @@
         return "-" if when is None else f"{(now - when).total_seconds():.2f}"
 
     def figures(self) -> list[str]:
-        """Lines for the operators' door: each zone's state, since when (s), its share and why; the peers."""
+        """Lines for the admin endpoint: each zone's state, since when (s), its share and why; the peers."""
         now, lines = self.now(), []
         for place in self.watch.places:
             lines += [
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -1,4 +1,4 @@
-"""The operators' door: its words, rude callers, the figures, and stock nodes taken out by hand."""
+"""The admin endpoint: its commands, rude callers, the figures, and stock nodes taken out by hand."""
 
 from __future__ import annotations
 
@@ -10,9 +10,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from opalgauge.console import marks as m
-from opalgauge.console import words as w
-from opalgauge.console.shelf import NAME, Shelf
+from opalgauge.console import bans
+from opalgauge.console import commands as c
+from opalgauge.console.ban_file import NAME, BanFile
 from opalgauge.memory import effects as fx
 from opalgauge.memory import events as ev
 from starlinggap import interface as i
@@ -26,22 +26,22 @@
 @pytest.mark.parametrize(
     ("line", "call"),
     [
-        (b"status", w.Status()),
-        (b"stats\r", w.Stats()),
-        (b"  maint-on   s-1 ", w.Maint("s-1", True)),
-        (b"maint-off s-1", w.Maint("s-1", False)),
+        (b"status", c.Status()),
+        (b"stats\r", c.Stats()),
+        (b"  maint-on   s-1 ", c.Maint("s-1", True)),
+        (b"maint-off s-1", c.Maint("s-1", False)),
     ],
 )
-def test_calls_are_understood(line: bytes, call: w.Call) -> None:
-    assert w.understand(line) == call
+def test_calls_are_understood(line: bytes, call: c.Call) -> None:
+    assert c.understand(line) == call
 
 
 @given(st.binary(max_size=80) | st.sampled_from([b"", b"status now", b"maint-on", b"maint-on a b"]))
 @settings(derandomize=True, max_examples=200)
 def test_whatever_else_is_said_gets_a_reason(line: bytes) -> None:
-    call = w.understand(line)
-    if isinstance(call, w.Wrong):
-        assert w.answer(False, call.why).startswith(b"400 ") and w.answer(False, call.why).count(b"\n") == 1
+    call = c.understand(line)
+    if isinstance(call, c.Wrong):
+        assert c.answer(False, call.why).startswith(b"400 ") and c.answer(False, call.why).count(b"\n") == 1
 
 
 MARK = ev.MaintMark("s-1", 1, True, START)
@@ -50,20 +50,21 @@
 @given(st.integers(0, 200), st.binary(max_size=3))
 @settings(derandomize=True, max_examples=100)
 def test_a_torn_record_is_no_record(cut: int, noise: bytes) -> None:
-    whole = m.write([MARK])
-    assert m.read(whole) == (("s-1", True, START),)
+    whole = bans.write([MARK])
+    assert bans.read(whole) == (("s-1", True, START),)
     spoilt = whole[:cut] + noise
-    assert spoilt == whole or m.read(spoilt) is None
+    assert spoilt == whole or bans.read(spoilt) is None
 
 
 def test_of_two_processes_words_the_last_one_counts() -> None:
     later = ev.MaintMark("s-1", 1, False, START + timedelta(seconds=1))
-    assert m.merge([MARK], [later]) == m.merge([later], [MARK]) == (later,)
+    assert bans.merge([MARK], [later]) == bans.merge([later], [MARK]) == (later,)
 
 
 def test_what_one_process_is_told_the_other_finds_and_a_torn_file_is_left(tmp_path: Path) -> None:
     said: list[str] = []
-    one, other, found = Shelf(str(tmp_path), said.append), Shelf(str(tmp_path), said.append), list[ev.Event]()
+    one, other = BanFile(str(tmp_path), said.append), BanFile(str(tmp_path), said.append)
+    found = list[ev.Event]()
     one.keep(fx.KeepMarks((MARK,)))
     second = ev.MaintMark("s-2", 2, True, START)
     other.keep(fx.KeepMarks((second,)))
@@ -71,7 +72,7 @@
     one.look(found.append)
     assert len(found) == 1 and isinstance(found[0], ev.MarksFound)
     assert {(x.name, x.out) for x in found[0].marks} == {("s-1", True), ("s-2", True)}
-    (tmp_path / NAME).write_bytes(m.write([MARK])[:-1])
+    (tmp_path / NAME).write_bytes(bans.write([MARK])[:-1])
     other.look(found.append)
     assert len(found) == 1 and "no whole record" in said[0]
 
--- a/tests/town.py
+++ b/tests/town.py
@@ -117,7 +117,7 @@
     door: tuple[str, int] = ("", 0)
 
     async def call(self, line: bytes) -> bytes:
-        """What the operators' door answers to a call, up to the connection's end."""
+        """What the admin endpoint answers to a call, up to the connection's end."""
         reader, writer = await asyncio.open_connection(*self.door)
         writer.write(line)
         try:
