Name the link between two processes of one ingress a link

The socket's name in the ingress's folder stays, as a process of the version before looks for it. No behaviour changes; the hand-over's tests pass.

--- a/opalgauge/handover/kin.py
+++ b/opalgauge/handover/link.py
@@ -15,14 +15,14 @@
 from typing import Any
 
 from opalgauge.handover import record
-from opalgauge.memory.events import Event, KinSeen, MemoryHanded
+from opalgauge.memory.events import Event, MemoryHanded, ProcessesSeen
 
 NAME = "opalgauge.kin"
 PATIENCE = timedelta(milliseconds=500)  # a start waits no longer for what the old process knows
 MOST_CALLERS = 4
 
 
-class Kin:
+class Link:
     """One process's end of the link."""
 
     def __init__(
@@ -48,7 +48,7 @@
         try:
             async with asyncio.timeout(PATIENCE.total_seconds()):
                 reader, self.link = await asyncio.open_unix_connection(str(self.path))
-                self.report(KinSeen(2))
+                self.report(ProcessesSeen(2))
                 self.link.write(record.hello(self.who))
                 head = await reader.readline()
                 if head == record.STRANGER:
@@ -74,7 +74,7 @@
         assert self.link is not None
         self.link.close()
         self.link = None
-        self.report(KinSeen(1))
+        self.report(ProcessesSeen(1))
         self.log("handover: a process of another ingress is at this folder; nothing of it is used")
 
     def close(self) -> None:
@@ -101,7 +101,7 @@
         with contextlib.suppress(OSError):
             while await reader.read(4096):
                 pass
-        self.report(KinSeen(1))
+        self.report(ProcessesSeen(1))
         await self._listen()
 
     async def _listen(self) -> None:
@@ -125,7 +125,7 @@
             await writer.drain()
             if answer == record.STRANGER:
                 return
-            self.report(KinSeen(2))
+            self.report(ProcessesSeen(2))
             while await reader.read(4096):
                 pass
         except (OSError, TimeoutError, ValueError):
@@ -134,4 +134,4 @@
             self.callers.discard(writer)
             writer.close()
             if not self.callers:
-                self.report(KinSeen(1))
+                self.report(ProcessesSeen(1))
--- a/opalgauge/lifecycle/service.py
+++ b/opalgauge/lifecycle/service.py
@@ -211,15 +211,15 @@
             exchange.do[fx.AnswerStaff] = opened.answered
         if ban_file is not None:
             watch_marks(loop, ban_file, exchange.report)
-        kin = None
+        link = None
         if shared and config.scratch:
-            from opalgauge.handover.kin import Kin  # not loaded where no other process can be
+            from opalgauge.handover.link import Link  # not loaded where no other process can be
             from opalgauge.handover.record import Identity
 
             gateway = exchange.reducer.gateway
             who = Identity.of(config.name, config.settings_told)
-            kin = Kin(config.scratch, lambda: take(gateway), exchange.report, clock.now, log, who)
-            await kin.start()
+            link = Link(config.scratch, lambda: take(gateway), exchange.report, clock.now, log, who)
+            await link.start()
         if joined is not None and config.peering is not None:
             await joined.start(config.peering.listen)
         if not draining:  # guards clients against one that was asked to stop while it started
@@ -229,8 +229,8 @@
             log(f"ready: {config.name} on {host}:{port}, {len(config.house.known)} stock nodes known")
         await over.wait()
         await asyncio.sleep(LINGER.total_seconds())
-        if kin is not None:
-            kin.close()
+        if link is not None:
+            link.close()
         if joined is not None:
             joined.close()
         await clients.close()
--- a/opalgauge/memory/events.py
+++ b/opalgauge/memory/events.py
@@ -311,7 +311,7 @@
 
 
 @dataclass(slots=True)
-class KinSeen:
+class ProcessesSeen:
     """So many processes of this ingress are at work: this one, and perhaps one before or after it."""
 
     processes: int
@@ -405,7 +405,7 @@
     | MaintAsked
     | MarksFound
     | NodesEjected
-    | KinSeen
+    | ProcessesSeen
     | MemoryHanded
     | ZoneJudged
     | CountTold
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -86,7 +86,7 @@
             ev.MaintAsked: self._maint_asked,
             ev.MarksFound: self._marks_found,
             ev.NodesEjected: self._nodes_ejected,
-            ev.KinSeen: self._kin_seen,
+            ev.ProcessesSeen: self._processes_seen,
             ev.MemoryHanded: self._memory_handed,
             ev.GraceOver: self._grace_over,
             ev.ZoneJudged: self._zone_judged,
@@ -1076,7 +1076,7 @@
         self.out.append(fx.Log(f"maint: {mark.name} {'taken out' if mark.out else 'back in use'}"))
 
     # --- another process of this ingress -------------------------------------------------------------------
-    def _kin_seen(self, event: ev.KinSeen) -> None:
+    def _processes_seen(self, event: ev.ProcessesSeen) -> None:
         """Guards ceilings: two processes side by side each have half of this ingress's part."""
         self.books.processes = event.processes
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -16,7 +16,7 @@
 from hypothesis import strategies as st
 
 from opalgauge.handover import record
-from opalgauge.handover.kin import NAME, Kin
+from opalgauge.handover.link import NAME, Link
 from opalgauge.memory import effects as fx
 from opalgauge.memory import events as ev
 from starlinggap import interface as i
@@ -138,7 +138,7 @@
     desk, heard = Desk(), list[i.Event]()
     heard = desk.listen()
     for processes, parts in ((1, 1), (2, 2), (1, 1)):
-        desk.step(ev.KinSeen(processes))
+        desk.step(ev.ProcessesSeen(processes))
         desk.order(CHECK)
         assert [e for e in heard if isinstance(e, i.Request)][-1].parts == parts
 
@@ -148,8 +148,8 @@
         heard: dict[str, list[ev.Event]] = {"old": [], "new": [], "third": []}
         said: list[str] = []
 
-        def kin(name: str) -> Kin:
-            return Kin(str(tmp_path), lambda: {"from": name}, heard[name].append, lambda: START, said.append)
+        def link(name: str) -> Link:
+            return Link(str(tmp_path), lambda: {"from": name}, heard[name].append, lambda: START, said.append)
 
         async def until(name: str, event: ev.Event) -> None:
             while event not in heard[name]:
@@ -158,20 +158,20 @@
         dead = socket.socket(socket.AF_UNIX)
         dead.bind(str(tmp_path / NAME))
         dead.close()  # a leftover: nobody listens there
-        old, new, third = kin("old"), kin("new"), kin("third")
+        old, new, third = link("old"), link("new"), link("third")
         await old.start()
         assert not heard["old"]
         await new.start()
-        assert heard["new"] == [ev.KinSeen(2), ev.MemoryHanded({"from": "old"})]
-        await until("old", ev.KinSeen(2))
+        assert heard["new"] == [ev.ProcessesSeen(2), ev.MemoryHanded({"from": "old"})]
+        await until("old", ev.ProcessesSeen(2))
         old.close()
-        await until("new", ev.KinSeen(1))
+        await until("new", ev.ProcessesSeen(1))
         while new.server is None:
             await asyncio.sleep(0.001)
         await third.start()  # a second upgrade
         assert ev.MemoryHanded({"from": "new"}) in heard["third"]
         third.close()  # which never becomes ready
-        await until("new", ev.KinSeen(1))
+        await until("new", ev.ProcessesSeen(1))
         new.close()
         assert not said
 
@@ -186,26 +186,30 @@
 
 @pytest.mark.parametrize("stranger", STRANGERS)
 def test_what_others_have_learned_is_not_used(stranger: str, tmp_path: Path) -> None:
-    other, kin_too = STRANGERS[stranger]
+    other, beside_too = STRANGERS[stranger]
 
     async def scene() -> None:
         old_heard, new_heard, said = list[ev.Event](), list[ev.Event](), list[str]()
         mine = record.Identity.of("n0", {"classes": [1]})
-        old = Kin(str(tmp_path), lambda: {"from": "old"}, old_heard.append, lambda: START, said.append, other)
-        new = Kin(str(tmp_path), lambda: {"from": "new"}, new_heard.append, lambda: START, said.append, mine)
+        old = Link(
+            str(tmp_path), lambda: {"from": "old"}, old_heard.append, lambda: START, said.append, other
+        )
+        new = Link(
+            str(tmp_path), lambda: {"from": "new"}, new_heard.append, lambda: START, said.append, mine
+        )
         await old.start()
         await new.start()
         assert not [e for e in new_heard if isinstance(e, ev.MemoryHanded)]
         assert len(said) == 1 and said[0].startswith("handover: ")
         # Two processes of one ingress share its part of the limits, whatever they work by; others do not.
-        assert new_heard[-1] == ev.KinSeen(2 if kin_too else 1)
-        if kin_too:
-            while ev.KinSeen(2) not in old_heard:
+        assert new_heard[-1] == ev.ProcessesSeen(2 if beside_too else 1)
+        if beside_too:
+            while ev.ProcessesSeen(2) not in old_heard:
                 await asyncio.sleep(0)
         else:
             while old.callers:
                 await asyncio.sleep(0)
-            assert ev.KinSeen(2) not in old_heard
+            assert ev.ProcessesSeen(2) not in old_heard
             assert new.server is None and (tmp_path / NAME).exists(), "the other's place is left to it"
         new.close()
         old.close()
@@ -233,9 +237,9 @@
 
         server = await asyncio.start_unix_server(old, str(tmp_path / NAME))
         heard, told = list[ev.Event](), list[str]()
-        new = Kin(str(tmp_path), lambda: {}, heard.append, lambda: START, told.append)
+        new = Link(str(tmp_path), lambda: {}, heard.append, lambda: START, told.append)
         await new.start()
-        while not heard or heard[-1] != ev.KinSeen(1) or new.server is None:
+        while not heard or heard[-1] != ev.ProcessesSeen(1) or new.server is None:
             await asyncio.sleep(0)
         assert not [e for e in heard if isinstance(e, ev.MemoryHanded)]
         assert len(told) == 1 and told[0].startswith("handover: the old process hands over nothing")
