Name what ingresses say to each other messages

Issue "Standard names": the modules `words` of zones, replica and shares are `messages`, their `Word` is `Message`, WORD_LIFE is MESSAGE_LIFE. What goes over the wire, the figures `words_sent` and `words_said` and the directives keep their names. No behaviour changes; the tests of the three packages pass.

--- a/opalgauge/lab/copies.py
+++ b/opalgauge/lab/copies.py
@@ -1,4 +1,4 @@
-"""Replicated state in virtual time: many copies, lossy words, clocks that differ, cuts and restarts."""
+"""Replicated state in virtual time: many copies, lossy messages, clocks that differ, cuts and restarts."""
 
 from __future__ import annotations
 
@@ -9,13 +9,13 @@
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
-from opalgauge.replica import words
+from opalgauge.replica import messages
 from opalgauge.replica.gossip import Gossip, Say
 from opalgauge.replica.store import Store
 
 EPOCH = datetime(2026, 12, 1, tzinfo=UTC)
 ROUND = 0.05
-MOST_IN = 100  # words a second that an ingress takes in
+MOST_IN = 100  # messages a second that an ingress takes in
 
 
 @dataclass(slots=True)
@@ -28,7 +28,7 @@
     changes: float = 4.0
     seed: int = 1
     drop: float = 0.072
-    twice: float = 0.05  # of the words come a second time
+    twice: float = 0.05  # of the messages come a second time
     delay: tuple[float, float] = (0.002, 0.017)
     skew: float = 0.0  # s: clocks differ by as much, either way
     cut: tuple[float, float, int] = (0.0, 0.0, 0)  # from, until, the first so many hear none of the others
@@ -133,7 +133,7 @@
             self._say(n, say)
 
     def _say(self, n: int, say: Say) -> None:
-        data = words.write(say.word)
+        data = messages.write(say.message)
         self.seen.longest_word = max(self.seen.longest_word, len(data))
         self.seen.bytes_said += len(data)
         key = n, int(self.now)
@@ -148,6 +148,6 @@
     def _word(self, n: int, data: bytes) -> None:
         key = n, int(self.now)
         self.heard[key] = self.heard.get(key, 0) + 1
-        if self.heard[key] <= MOST_IN and (word := words.read(data)) is not None:
-            self.copies[n].heard(word, self._when(n))
+        if self.heard[key] <= MOST_IN and (message := messages.read(data)) is not None:
+            self.copies[n].heard(message, self._when(n))
             self._send(n)
--- a/opalgauge/lab/shares.py
+++ b/opalgauge/lab/shares.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from opalgauge.lab.quotas import TARIFFS, Load, Share, Tariff, Verdict, by_tariff, replay
-from opalgauge.shares import words
+from opalgauge.shares import messages
 from opalgauge.shares.lease import Call, Leases, Rules, Say, Tell
 from starlinggap import Gateway
 from starlinggap import interface as i
@@ -170,7 +170,7 @@
         self.gates[me], self.leases[me] = self._gate(me), self._leases(me)
         self._at(self.now + ROUND, self._tick, me, self.life[me])
 
-    # --- leases and words ----------------------------------------------------------------------------------
+    # --- leases and messages ------------------------------------------------------------------------------
     def _tick(self, me: int, life: int) -> None:
         leases = self.leases[me]
         if leases is None or life != self.life[me] or self.now > self.s.seconds + 3:
@@ -195,7 +195,7 @@
             self._give(me, counted)
 
     def _say(self, me: int, action: Say) -> None:
-        data = words.write(action.word)
+        data = messages.write(action.message)
         self.seen.longest_word = max(self.seen.longest_word, len(data))
         apart = self.s.groups and self.s.groups[me] != self.s.groups[action.peer]
         if apart and self.s.split[0] <= self.now < self.s.split[1] or self.rng.random() < self.s.drop:
@@ -206,9 +206,9 @@
         key = me, int(self.now)
         self.heard[key] = self.heard.get(key, 0) + 1
         self.seen.most_words = max(self.seen.most_words, self.heard[key])
-        word, leases = words.read(data), self.leases[me]
-        assert word is not None and leases is not None
-        leases.heard(word, self._when())
+        message, leases = messages.read(data), self.leases[me]
+        assert message is not None and leases is not None
+        leases.heard(message, self._when())
         self._act(me)
 
     # --- the counter ---------------------------------------------------------------------------------------
--- a/opalgauge/lab/zones.py
+++ b/opalgauge/lab/zones.py
@@ -1,4 +1,4 @@
-"""Zones in virtual time: many gateways with their watches, lossy words and nodes with capacities; no sockets.
+"""Zones in virtual time: gateways with their watches, lossy messages, nodes with capacities; no sockets.
 
 For sizes that no machine here holds as processes. The model of a node and the judges are those that serve.
 """
@@ -14,7 +14,7 @@
 
 from opalgauge.lab.nodes import Model
 from opalgauge.memory.effects import AttemptSeen
-from opalgauge.zones import words
+from opalgauge.zones import messages
 from opalgauge.zones.watch import Judged, Rules, Say, Watch
 from starlinggap import Gateway
 from starlinggap import interface as i
@@ -162,7 +162,7 @@
         self._at(self.now + ROUND, self._tick, me, life)
         for action in self.watches[me].tick(self._when()):
             if isinstance(action, Say):
-                data = words.write(action.word)
+                data = messages.write(action.message)
                 self.seen.longest_word = max(self.seen.longest_word, len(data))
                 for peer in action.peers:
                     if peer < self.s.ingresses and self.rng.random() >= self.s.drop:
@@ -180,9 +180,9 @@
         second = int(self.now)
         self.heard[me][second] = self.heard[me].get(second, 0) + 1
         self.seen.most_words = max(self.seen.most_words, self.heard[me][second])
-        word = words.read(data)
-        assert word is not None
-        self.watches[me].heard(word, self._when())
+        message = messages.read(data)
+        assert message is not None
+        self.watches[me].heard(message, self._when())
 
     def _trial(self, me: int, node: int) -> None:
         watch, zone = self.watches[me], self.entries[node - 1].zone
--- a/opalgauge/memory/sealed.py
+++ b/opalgauge/memory/sealed.py
@@ -1,4 +1,4 @@
-"""What all words between ingresses have in common: a version, a body, a keyed digest. No I/O."""
+"""What all messages between ingresses have in common: a version, a body, a keyed digest. No I/O."""
 
 from __future__ import annotations
 
--- a/opalgauge/replica/channel.py
+++ b/opalgauge/replica/channel.py
@@ -8,7 +8,7 @@
 
 from opalgauge.memory.effects import MarkMade
 from opalgauge.memory.events import Event, MaintMark, MarksFound, NodesEjected
-from opalgauge.replica import words
+from opalgauge.replica import messages
 from opalgauge.replica.clock import EPOCH, MICROSECOND, when
 from opalgauge.replica.crdt import Parts, Register
 from opalgauge.replica.gossip import Gossip
@@ -44,7 +44,7 @@
         self.gossip = Gossip(self.store, ingresses, started, seed)
         self.said: dict[str, float] = {}  # what this ingress has told of itself, and until when
         self.quorum = min(QUORUM, max(1, ingresses - 1))
-        wire.takers[words.VERSION] = self._came
+        wire.takers[messages.VERSION] = self._came
         self.loop = asyncio.get_running_loop()
         self.timer: asyncio.TimerHandle | None = None
 
@@ -82,10 +82,10 @@
         return f"{account}:{window}@{(over - EPOCH) // MICROSECOND}"
 
     def _came(self, data: bytes) -> bool:
-        if word := words.read(data, self.secret):
-            self.gossip.heard(word, self.now())
+        if message := messages.read(data, self.secret):
+            self.gossip.heard(message, self.now())
             self._act()
-        return word is not None
+        return message is not None
 
     def _judge(self) -> None:
         """What the decisions have ejected, or taken back by a good answer, since the last look."""
@@ -107,7 +107,7 @@
     def _act(self) -> None:
         said, news = self.gossip.take()
         for say in said:
-            self.wire.send(words.write(say.word, self.secret), say.peer)
+            self.wire.send(messages.write(say.message, self.secret), say.peer)
         marks, found = [], []
         for change in news:
             kind, name = change.key
--- a/opalgauge/replica/words.py
+++ b/opalgauge/replica/messages.py
@@ -1,7 +1,8 @@
 """What copies say to each other: datagrams of at most 256 bytes. No I/O.
 
-MessagePack by msgspec, sealed as all words between ingresses are; the version is its first two bytes. It says
-one of: items; the hashes of all branches; the hashes of a branch's leaves; or that its sender knows nothing.
+MessagePack by msgspec, sealed as all messages between ingresses are; the version is its first two bytes. It
+says one of: items; the hashes of all branches; the hashes of a branch's leaves; or that its sender
+knows nothing.
 """
 
 from __future__ import annotations
@@ -18,14 +19,14 @@
 from opalgauge.replica.store import BRANCHES, HASH, LEAVES, TYPES, Key
 
 VERSION = b"\x5a\x21"
-HEAD = 24  # bytes of a word round its items, at most
+HEAD = 24  # bytes of a message round its items, at most
 MOST_ROWS = 4  # sources or tags in one piece of an item
 MOST_NAME = 100  # characters
 
 
 @dataclass(frozen=True, slots=True)
-class Word:
-    """`number` grows with each word of a life. One of the rest is said.
+class Message:
+    """`number` grows with each message of a life. One of the rest is said.
 
     `leaf` hashes with `back`: an answer to the receiver's own, not to be answered with more hashes.
     """
@@ -49,17 +50,18 @@
     leaves: tuple[int, list[bytes], bool] | None = None
 
 
-def write(word: Word, secret: bytes = b"") -> bytes:
+def write(message: Message, secret: bytes = b"") -> bytes:
+    leaves = message.leaves
     wire = _Wire(
-        word.sender, word.life, word.number, word.hello,
-        [(kind, name, item.wire()) for (kind, name), item in word.items], list(word.branches),
-        (word.leaves[0], list(word.leaves[1]), word.leaves[2]) if word.leaves is not None else None,
+        message.sender, message.life, message.number, message.hello,
+        [(kind, name, item.wire()) for (kind, name), item in message.items], list(message.branches),
+        (leaves[0], list(leaves[1]), leaves[2]) if leaves is not None else None,
     )  # fmt: skip
     return seal(VERSION, msgspec.msgpack.encode(wire), secret)
 
 
-def read(data: bytes, secret: bytes = b"") -> Word | None:
-    """Another copy's word; None where it is torn, foreign or says what cannot be. Never raises."""
+def read(data: bytes, secret: bytes = b"") -> Message | None:
+    """Another copy's message; None where it is torn, foreign or says what cannot be. Never raises."""
     body = unseal(data, VERSION, secret)
     if body is None:
         return None
@@ -82,7 +84,7 @@
     except (msgspec.MsgspecError, ValueError, TypeError, KeyError):
         return None
     leaves = (wire.leaves[0], tuple(wire.leaves[1]), wire.leaves[2]) if wire.leaves is not None else None
-    return Word(wire.sender, wire.life, wire.number, items, tuple(wire.branches), leaves, wire.hello)
+    return Message(wire.sender, wire.life, wire.number, items, tuple(wire.branches), leaves, wire.hello)
 
 
 def packed(items: Iterable[tuple[Key, Item]]) -> Iterator[tuple[tuple[Key, Item], ...]]:
--- a/opalgauge/shares/channel.py
+++ b/opalgauge/shares/channel.py
@@ -8,7 +8,7 @@
 
 from opalgauge.memory.effects import AccountMet, CountAsked, CountHeard
 from opalgauge.memory.events import CountTold, CountWanted, Event
-from opalgauge.shares import words
+from opalgauge.shares import messages
 from opalgauge.shares.lease import Call, Leases, Note, Rules, Say, Spent, Tell
 from opalgauge.wire.peers import Peers
 
@@ -31,7 +31,7 @@
         self.wire, self.secret, self.report, self.now, self.log = wire, secret, report, now, log
         started = now()
         self.leases = Leases(rules, started, int(started.timestamp() * 1000), seed)
-        wire.takers[words.VERSION] = self._came
+        wire.takers[messages.VERSION] = self._came
         # Account, window, its end and units; heard where state is replicated.
         self.spent: Callable[[int, int, datetime, float], None] = lambda *_: None
         self.loop = asyncio.get_running_loop()
@@ -58,10 +58,10 @@
         self._act()
 
     def _came(self, data: bytes) -> bool:
-        if word := words.read(data, self.secret):
-            self.leases.heard(word, self.now())
+        if message := messages.read(data, self.secret):
+            self.leases.heard(message, self.now())
             self._act()
-        return word is not None
+        return message is not None
 
     def _act(self) -> None:
         for action in self.leases.take():
@@ -70,8 +70,8 @@
                     self.report(CountTold(name, total, took, end))
                 case Call(token, name, amount, life):
                     self.report(CountWanted(token, name, amount, life))
-                case Say(peer, word):
-                    self.wire.send(words.write(word, self.secret), peer)
+                case Say(peer, message):
+                    self.wire.send(messages.write(message, self.secret), peer)
                 case Spent(account, window, over, units):
                     self.spent(account, window, over, units)
                 case Note(text):
--- a/opalgauge/shares/lease.py
+++ b/opalgauge/shares/lease.py
@@ -7,7 +7,7 @@
 - While it does not, an ingress has rights to its even part of what was free, over the account's ingresses,
   and of each new window. Told is the total as it were if all used theirs alike: of what was free, the part
   that was spent of its rights. Rights move by grants, as in a bounded counter: whoever gives has them no
-  more, so a word that is lost loses rights only.
+  more, so a message that is lost loses rights only.
 - Who has the counter leaves out the parts of those that have not, or are not heard.
 
 The error of all that is stated in `docs/design/shares.md`.
@@ -22,7 +22,7 @@
 from dataclasses import dataclass, field
 from datetime import UTC, datetime, timedelta
 
-from opalgauge.shares.words import MOST_GRANTS, MOST_NEEDS, Grant, Need, Word
+from opalgauge.shares.messages import MOST_GRANTS, MOST_NEEDS, Grant, Message, Need
 from starlinggap import interface as i
 from starlinggap.brain import mix
 
@@ -41,9 +41,9 @@
 ROOM_LEAST, ROOM_MOST = 1.0, 16.0  # calls at once: a slow counter is asked less, and batches more
 UNKNOWN = 0.5  # of its quota: what an account not met before the cut is thought to have used
 RESERVED = timedelta(seconds=30)  # an ingress that is not heard is left its part for so long
-WORD_LIFE = timedelta(milliseconds=1500)
-BEAT = timedelta(milliseconds=400)  # between words that only say that one lives
-SOON = timedelta(milliseconds=80)  # between words to one peer
+MESSAGE_LIFE = timedelta(milliseconds=1500)
+BEAT = timedelta(milliseconds=400)  # between messages that only say that one lives
+SOON = timedelta(milliseconds=80)  # between messages to one peer
 FEW = 12  # ingresses: with more of them, silence says nothing, as nobody can speak to all
 SPARE = 0.7  # of what an ingress has no use for itself, given to one that asks
 REPEATS = 3  # times that a grant is said
@@ -89,7 +89,7 @@
 @dataclass(frozen=True, slots=True)
 class Say:
     peer: int
-    word: Word
+    message: Message
 
 
 @dataclass(frozen=True, slots=True)
@@ -265,20 +265,20 @@
             self._serve(about)
         self._next()
 
-    def heard(self, word: Word, now: datetime) -> None:
+    def heard(self, message: Message, now: datetime) -> None:
         self.now = max(self.now, now)
-        peer = self.peers.get(word.sender)
-        if peer is None or word.life < peer.life:
+        peer = self.peers.get(message.sender)
+        if peer is None or message.life < peer.life:
             return
-        if word.life > peer.life:
-            peer.life, peer.number = word.life, -1
-        for grant in word.grants:
-            self._granted(word.sender, word.life, grant)
-        if word.number <= peer.number:
+        if message.life > peer.life:
+            peer.life, peer.number = message.life, -1
+        for grant in message.grants:
+            self._granted(message.sender, message.life, grant)
+        if message.number <= peer.number:
             return  # repeated or overtaken: what it needed is no longer known to be so
-        peer.number, peer.heard, peer.down = word.number, self.now, word.down
-        for need in word.needs:
-            self._needed(word.sender, word.life, need)
+        peer.number, peer.heard, peer.down = message.number, self.now, message.down
+        for need in message.needs:
+            self._needed(message.sender, message.life, need)
 
     def tick(self, now: datetime) -> None:
         """To be called some fifty times a second."""
@@ -423,7 +423,7 @@
             if peer is None or peer.heard is None:
                 continue  # this one, or one that has never been heard: there may be none
             silent = self.now - peer.heard
-            unheard = silent > WORD_LIFE and self.rules.ingresses <= FEW
+            unheard = silent > MESSAGE_LIFE and self.rules.ingresses <= FEW
             away += silent < RESERVED and (peer.down or unheard)
         return min(0.95, away * self._part(account))
 
@@ -589,7 +589,7 @@
             ):
                 self.dirty.pop(account.number, None)
 
-    # --- words ---------------------------------------------------------------------------------------------
+    # --- messages -----------------------------------------------------------------------------------------
     def _needed(self, peer: int, life: int, need: Need) -> None:
         """Another ingress lacks rights: it gets a part of those that this one has no use for."""
         if not self.rules.grants or not 0 <= need.tariff < len(self.rules.plans):
@@ -638,7 +638,7 @@
             grants = tuple(g for g, _ in peer.grants[:MOST_GRANTS])
             later = [(g, k - 1) for g, k in peer.grants[:MOST_GRANTS] if k > 1]
             peer.grants = peer.grants[MOST_GRANTS:] + later
-            self.out.append(Say(n, Word(self.rules.me, self.life, self.number, self.down, mine, grants)))
+            self.out.append(Say(n, Message(self.rules.me, self.life, self.number, self.down, mine, grants)))
 
     def _needs(self) -> list[tuple[Need, list[int]]]:
         found = []
--- a/opalgauge/shares/words.py
+++ b/opalgauge/shares/messages.py
@@ -1,6 +1,6 @@
 """What ingresses say to each other of rights: a datagram of at most 256 bytes. No I/O.
 
-MessagePack by msgspec, sealed as all words between ingresses are.
+MessagePack by msgspec, sealed as all messages between ingresses are.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 from opalgauge.memory.sealed import seal, unseal
 
 VERSION = b"\x5a\x11"
-MOST_NEEDS, MOST_GRANTS = 5, 4  # of one word: the longest of each still fit
+MOST_NEEDS, MOST_GRANTS = 5, 4  # of one message: the longest of each still fit
 MOST_UNITS = 1e6
 TENTHS = 10
 
@@ -40,8 +40,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Word:
-    """`down`: the sender is without the quota counter. `number` grows with each word of a life."""
+class Message:
+    """`down`: the sender is without the quota counter. `number` grows with each message of a life."""
 
     sender: int
     life: int
@@ -60,17 +60,17 @@
     grants: list[tuple[int, int, int, int]]
 
 
-def write(word: Word, secret: bytes = b"") -> bytes:
+def write(message: Message, secret: bytes = b"") -> bytes:
     needs = [
-        (n.account, n.tariff, n.first, n.spread, n.window, round(n.units * TENTHS)) for n in word.needs
+        (n.account, n.tariff, n.first, n.spread, n.window, round(n.units * TENTHS)) for n in message.needs
     ]  # fmt: skip
-    grants = [(g.account, g.window, round(g.units * TENTHS), g.life) for g in word.grants]
-    wire = _Wire(word.sender, word.life, word.number, word.down, needs, grants)
+    grants = [(g.account, g.window, round(g.units * TENTHS), g.life) for g in message.grants]
+    wire = _Wire(message.sender, message.life, message.number, message.down, needs, grants)
     return seal(VERSION, msgspec.msgpack.encode(wire), secret)
 
 
-def read(data: bytes, secret: bytes = b"") -> Word | None:
-    """A peer's word; None where it is torn, foreign or says what cannot be. Never raises."""
+def read(data: bytes, secret: bytes = b"") -> Message | None:
+    """A peer's message; None where it is torn, foreign or says what cannot be. Never raises."""
     body = unseal(data, VERSION, secret)
     if body is None:
         return None
@@ -88,4 +88,4 @@
         return None
     needs = tuple(Need(a, t, f, s, w, u / TENTHS) for a, t, f, s, w, u in wire.needs)
     grants = tuple(Grant(a, w, u / TENTHS, life) for a, w, u, life in wire.grants)
-    return Word(wire.sender, wire.life, wire.number, wire.down, needs, grants)
+    return Message(wire.sender, wire.life, wire.number, wire.down, needs, grants)
--- a/opalgauge/wire/peers.py
+++ b/opalgauge/wire/peers.py
@@ -29,7 +29,7 @@
         self.transport = transport
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
-        # Guards the one core against a flood: reading a word costs more than dropping it.
+        # Guards the one core against a flood: reading a message costs more than dropping it.
         second = int(self.time())
         if second != self.second:
             self.second, self.taken = second, 0
@@ -39,7 +39,7 @@
             self.dropped += 1
 
     def error_received(self, exc: Exception) -> None:
-        """A peer that is not there: its word is lost, as others may be."""
+        """A peer that is not there: its message is lost, as others may be."""
 
     def send(self, data: bytes, peer: int) -> None:
         address = self.peers.get(peer)
--- a/opalgauge/zones/channel.py
+++ b/opalgauge/zones/channel.py
@@ -1,4 +1,4 @@
-"""The edge of `opalgauge.zones`: steps the watch by a timer, carries its words, reports what it judges."""
+"""The edge of `opalgauge.zones`: steps the watch by a timer, carries its messages, reports what it judges."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from opalgauge.memory.effects import AttemptSeen, NodesListed
 from opalgauge.memory.events import Event, ZoneJudged
 from opalgauge.wire.peers import Peers
-from opalgauge.zones import words
+from opalgauge.zones import messages
 from opalgauge.zones.watch import Judged, Note, Rules, Say, Watch
 
 ROUND = 0.05  # s between steps
@@ -36,7 +36,7 @@
         started = now()
         life = int(started.timestamp() * 1000)
         self.watch = Watch(rules, started, life, seed)
-        wire.takers[words.VERSION] = self._came
+        wire.takers[messages.VERSION] = self._came
         self.loop = asyncio.get_running_loop()
         self.timer: asyncio.TimerHandle | None = None
 
@@ -54,9 +54,9 @@
         self.watch.listed(effect.entries)
 
     def _came(self, data: bytes) -> bool:
-        if word := words.read(data, self.secret):
-            self.watch.heard(word, self.now())
-        return word is not None
+        if message := messages.read(data, self.secret):
+            self.watch.heard(message, self.now())
+        return message is not None
 
     def _round(self) -> None:
         self.timer = self.loop.call_later(ROUND, self._round)
@@ -65,8 +65,8 @@
                 case Judged(zone, share, trial):
                     if self.acts:
                         self.report(ZoneJudged(zone, share, trial))
-                case Say(peers, word):
-                    data = words.write(word, self.secret)
+                case Say(peers, message):
+                    data = messages.write(message, self.secret)
                     for peer in peers:
                         self.wire.send(data, peer)
                 case Note(text):
--- a/opalgauge/zones/fleet.py
+++ b/opalgauge/zones/fleet.py
@@ -1,6 +1,6 @@
 """What the ingresses of a fleet say to each other of zones, who of them is alive, and what they agree on.
 
-No I/O, no clock. Messages get lost, come late and out of order: only the newest word of each ingress counts,
+No I/O, no clock. Messages get lost, come late and out of order: only the newest one of each ingress counts,
 and only for so long. Nothing here waits for an answer.
 """
 
@@ -10,15 +10,15 @@
 from datetime import datetime, timedelta
 
 from opalgauge.zones.health import Opinion
-from opalgauge.zones.words import State, Word
+from opalgauge.zones.messages import Message, State
 
-WORD_LIFE = timedelta(milliseconds=1500)  # six words: with half of them lost, one in 60 is unheard
+MESSAGE_LIFE = timedelta(milliseconds=1500)  # six messages: with half of them lost, one in 60 is unheard
 ALIVE = timedelta(seconds=6)  # an ingress not heard for so long is not counted
 
 
 @dataclass(frozen=True, slots=True)
 class Votes:
-    """Opinions of a zone, this ingress's own among them, and what fresh words say of its trials."""
+    """Opinions of a zone, this ingress's own among them, and what fresh messages say of its trials."""
 
     failing: int
     well: int
@@ -27,39 +27,39 @@
     bad_trials: int
     returning_since: datetime | None  # the latest start that a peer tells, while most do not say it is left
     left: int
-    heard: int  # peers with a fresh word
+    heard: int  # peers with a fresh message
 
 
 class Fleet:
-    """The newest word of each peer."""
+    """The newest message of each peer."""
 
     def __init__(self, me: int, told: int) -> None:
         self.me, self.told = me, max(1, told)  # `told`: how many ingresses the settings know
-        self.words: dict[int, tuple[datetime, Word]] = {}
+        self.messages: dict[int, tuple[datetime, Message]] = {}
 
-    def hear(self, word: Word, now: datetime) -> bool:
-        """Takes a word unless a newer one of that ingress is known; False: it is old, or our own."""
-        if word.sender == self.me or not 0 <= word.sender < self.told:
+    def hear(self, message: Message, now: datetime) -> bool:
+        """Takes a message unless a newer one of that ingress is known; False: it is old, or our own."""
+        if message.sender == self.me or not 0 <= message.sender < self.told:
             return False
-        known = self.words.get(word.sender)
-        if known is not None and (word.life, word.number) <= (known[1].life, known[1].number):
+        known = self.messages.get(message.sender)
+        if known is not None and (message.life, message.number) <= (known[1].life, known[1].number):
             return False
-        self.words[word.sender] = now, word
+        self.messages[message.sender] = now, message
         return True
 
     def alive(self, now: datetime) -> int:
         """How many ingresses there are, this one with them. Where nobody is heard, all that were told of."""
-        heard = sum(now - at <= ALIVE for at, _ in self.words.values())
+        heard = sum(now - at <= ALIVE for at, _ in self.messages.values())
         return 1 + heard if heard else self.told
 
     def cut_off(self, now: datetime) -> bool:
-        return self.told > 1 and not any(now - at <= WORD_LIFE for at, _ in self.words.values())
+        return self.told > 1 and not any(now - at <= MESSAGE_LIFE for at, _ in self.messages.values())
 
     def votes(self, zone: int, own: Opinion, now: datetime) -> Votes:
         fresh = [
-            (now - at, word.zones[zone])
-            for at, word in self.words.values()
-            if now - at <= WORD_LIFE and zone < len(word.zones)
+            (now - at, message.zones[zone])
+            for at, message in self.messages.values()
+            if now - at <= MESSAGE_LIFE and zone < len(message.zones)
         ]
         opinions = [own, *(told.opinion for _, told in fresh)]
         since = [now - gone - told.age for gone, told in fresh if told.state is State.RETURNING]
--- a/opalgauge/zones/words.py
+++ b/opalgauge/zones/messages.py
@@ -1,7 +1,7 @@
-"""One ingress's word to its peers: a datagram of at most 256 bytes. No I/O.
+"""One ingress's message to its peers: a datagram of at most 256 bytes. No I/O.
 
 MessagePack by msgspec, behind two bytes of version and before a keyed digest (BLAKE2b, 8 bytes). What is
-torn, foreign or of another version is no word; it is dropped and counted by whoever reads.
+torn, foreign or of another version is no message; it is dropped and counted by whoever reads.
 """
 
 from __future__ import annotations
@@ -42,8 +42,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Word:
-    """`life` grows with each start of the sender, `number` with each word of a life."""
+class Message:
+    """`life` grows with each start of the sender, `number` with each message of a life."""
 
     sender: int
     life: int
@@ -58,21 +58,21 @@
     zones: list[tuple[int, int, int, int, int]]
 
 
-def write(word: Word, secret: bytes = b"") -> bytes:
+def write(message: Message, secret: bytes = b"") -> bytes:
     """At most 256 bytes for MOST_ZONES zones."""
     rows = [
         (
             int(z.opinion), int(z.state), min(z.age // TENTH, MOST_TENTHS),
             min(z.good_trials, MOST_TRIALS), min(z.bad_trials, MOST_TRIALS),
         )
-        for z in word.zones[:MOST_ZONES]
+        for z in message.zones[:MOST_ZONES]
     ]  # fmt: skip
-    body = msgspec.msgpack.encode(_Wire(word.sender, word.life, word.number, rows))
+    body = msgspec.msgpack.encode(_Wire(message.sender, message.life, message.number, rows))
     return seal(VERSION, body, secret)
 
 
-def read(data: bytes, secret: bytes = b"") -> Word | None:
-    """A peer's word; None where it is torn, foreign or says what cannot be. Never raises."""
+def read(data: bytes, secret: bytes = b"") -> Message | None:
+    """A peer's message; None where it is torn, foreign or says what cannot be. Never raises."""
     body = unseal(data, VERSION, secret)
     if body is None:
         return None
@@ -87,7 +87,7 @@
         )  # fmt: skip
     except (msgspec.MsgspecError, ValueError):
         return None
-    return Word(wire.sender, wire.life, wire.number, zones)
+    return Message(wire.sender, wire.life, wire.number, zones)
 
 
 def _within(value: int, most: int) -> int:
--- a/opalgauge/zones/watch.py
+++ b/opalgauge/zones/watch.py
@@ -18,7 +18,7 @@
 from opalgauge.memory.effects import AttemptSeen
 from opalgauge.zones.fleet import Fleet, Votes
 from opalgauge.zones.health import BAD, Health, Opinion
-from opalgauge.zones.words import State, Told, Word
+from opalgauge.zones.messages import Message, State, Told
 from starlinggap.interface import End, ServerEntry
 from starlinggap.interface import Health as Listed
 
@@ -31,13 +31,13 @@
 ASKED = timedelta(milliseconds=150)  # between trials of a zone in doubt, by one who hears nobody
 TRIAL_LIFE = timedelta(seconds=4)
 GOOD_TRIALS = 2
-TOLD_WITHIN = timedelta(milliseconds=200)  # a word's way, and what its tenths round away
+TOLD_WITHIN = timedelta(milliseconds=200)  # a message's way, and what its tenths round away
 MARGIN = 0.8  # of what the settings say that cold nodes bear, at the start of a ramp
 SLOW_LEAST = 0.25  # of a whole share: a slow zone keeps so much, or nobody would see it recover
 STEP = 0.02  # shares that differ by less are not told again
-WORDS = timedelta(milliseconds=250)  # between words; twice that where there are many peers
-FEW, FANOUT = 12, 16  # peers: to more than FEW words go half as often, to at most FANOUT at a time
-SOON = 0.5  # of that pause: a change is told no sooner after the last word, or it would pass the budget
+PAUSE = timedelta(milliseconds=250)  # between messages; twice that where there are many peers
+FEW, FANOUT = 12, 16  # peers: to more than FEW messages go half as often, to at most FANOUT at a time
+SOON = 0.5  # of that pause: a change is told no sooner after the last message, or it would pass the budget
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,10 +51,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Say:
-    """A word to these peers, by their numbers."""
+    """A message to these peers, by their numbers."""
 
     peers: tuple[int, ...]
-    word: Word
+    message: Message
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,7 +113,7 @@
 
 
 class Watch:
-    """`life`: larger at each start of this ingress, so that its old words do not count."""
+    """`life`: larger at each start of this ingress, so that its old messages do not count."""
 
     def __init__(self, rules: Rules, now: datetime, life: int, seed: int) -> None:
         self.rules, self.life, self.number = rules, life, 0
@@ -122,7 +122,7 @@
         self.chance = random.Random(seed)
         self.places = [Place(name, now, mark=now, next_trial=now) for name in rules.zones]
         self.nodes: dict[int, ServerEntry] = {}
-        self.said = now - WORDS
+        self.said = now - PAUSE
         self.changed = False
         self.out: list[Action] = []
 
@@ -159,8 +159,8 @@
             if trial and effect.end is End.OK:
                 place.next_trial = max(place.next_trial, now + AGAIN)
 
-    def heard(self, word: Word, now: datetime) -> None:
-        self.fleet.hear(word, now)
+    def heard(self, message: Message, now: datetime) -> None:
+        self.fleet.hear(message, now)
 
     # --- time ----------------------------------------------------------------------------------------------
     def tick(self, now: datetime) -> list[Action]:
@@ -300,7 +300,7 @@
 
     def _speak(self, own: list[Opinion], now: datetime) -> None:
         peers = [k for k in range(self.rules.ingresses) if k != self.rules.me]
-        pause = WORDS if len(peers) <= FEW else 2 * WORDS
+        pause = PAUSE if len(peers) <= FEW else 2 * PAUSE
         if not peers or now - self.said < (SOON * pause if self.changed else pause):
             return
         self.said, self.changed, self.number = now, False, self.number + 1
@@ -309,4 +309,4 @@
             for n, p in enumerate(self.places)
         )
         some = tuple(peers if len(peers) <= FANOUT else self.chance.sample(peers, FANOUT))
-        self.out.append(Say(some, Word(self.rules.me, self.life, self.number, zones)))
+        self.out.append(Say(some, Message(self.rules.me, self.life, self.number, zones)))
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -1,4 +1,4 @@
-"""Replicated state: merge rules searched and modelled, copies by hand, words, fleets in virtual time."""
+"""Replicated state: merge rules searched and modelled, copies by hand, messages, fleets in virtual time."""
 
 from __future__ import annotations
 
@@ -16,12 +16,12 @@
 
 from opalgauge.lab.copies import Scene, World
 from opalgauge.memory.sealed import LONGEST
-from opalgauge.replica import words
+from opalgauge.replica import messages
 from opalgauge.replica.clock import Clock
 from opalgauge.replica.crdt import Item, Parts, Register, Tags, merge
 from opalgauge.replica.gossip import DEPTH, GIVE_UP, RATE, Gossip
+from opalgauge.replica.messages import Message
 from opalgauge.replica.store import GRACE, MOST_BANS, Kind, Store
-from opalgauge.replica.words import Word
 from starlinggap import interface as i
 from starlinggap.snapshot import eject, ejections
 from tests.rig import Rig, settings
@@ -128,7 +128,7 @@
 
 
 class Copies(RuleBasedStateMachine):
-    """Three copies, words that are lost, repeated and overtaken: whoever hears all of all is equal."""
+    """Three copies, messages that are lost, repeated and overtaken: whoever hears all of all is equal."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -139,7 +139,7 @@
     def collect(self) -> None:
         for copy in self.copies:
             for say in copy.take()[0]:
-                self.flying.append((say.peer, words.write(say.word)))
+                self.flying.append((say.peer, messages.write(say.message)))
 
     @rule(n=st.integers(0, 2), op=st.sampled_from(sorted(OPS)))
     def change(self, n: int, op: str) -> None:
@@ -155,13 +155,13 @@
 
     @precondition(lambda self: self.flying)
     @rule(data=st.data(), end=st.sampled_from(["come", "come", "twice", "lost"]))
-    def word(self, data: st.DataObject, end: str) -> None:
+    def message(self, data: st.DataObject, end: str) -> None:
         at = data.draw(st.integers(0, len(self.flying) - 1))
         peer, told = self.flying[at] if end == "twice" else self.flying.pop(at)
         if end != "lost":
-            word = words.read(told)
-            assert word is not None
-            self.copies[peer].heard(word, self.now)
+            message = messages.read(told)
+            assert message is not None
+            self.copies[peer].heard(message, self.now)
             self.collect()
 
     @invariant()
@@ -173,9 +173,9 @@
             self.tick(100)
             flying, self.flying = self.flying, []
             for peer, told in flying:
-                word = words.read(told)
-                assert word is not None
-                self.copies[peer].heard(word, self.now)
+                message = messages.read(told)
+                assert message is not None
+                self.copies[peer].heard(message, self.now)
                 self.collect()
         assert len({c.store.digest() for c in self.copies}) == 1
 
@@ -254,7 +254,7 @@
         for copy in copies.values():
             for say in copy.take()[0]:
                 if say.peer in copies:
-                    copies[say.peer].heard(say.word, now)
+                    copies[say.peer].heard(say.message, now)
 
 
 def test_who_starts_with_nothing_is_caught_up_only_with_the_bans() -> None:
@@ -287,7 +287,7 @@
     assert all(c.caught_up for c in copies.values())
 
 
-# --- words -------------------------------------------------------------------------------------------------
+# --- messages --------------------------------------------------------------------------------------------
 def test_items_of_any_length_are_packed_into_datagrams_and_come_back() -> None:
     tags = Tags({(n, 2**50 + n): 2**51 for n in range(199)}, frozenset({(3, 2**50 + 3)}))
     many = Parts({(n, 2**42): 2**30 for n in range(199)})
@@ -296,11 +296,11 @@
         ((Kind.COUNT, "7:1@2000000000000000"), many),
     ]  # fmt: skip
     store = Store(0, 1)
-    for batch in words.packed(items):
-        data = words.write(Word(199, 2**42, 2**40, items=batch), b"s")
-        word = words.read(data, b"s")
-        assert len(data) <= LONGEST and word is not None and word.items == batch
-        for key, item in word.items:
+    for batch in messages.packed(items):
+        data = messages.write(Message(199, 2**42, 2**40, items=batch), b"s")
+        message = messages.read(data, b"s")
+        assert len(data) <= LONGEST and message is not None and message.items == batch
+        for key, item in message.items:
             store.merge(key, item, datetime(2030, 1, 1, tzinfo=UTC))
     assert store.items[items[1][0]] == tags and store.items[items[2][0]] == many
 
@@ -308,21 +308,21 @@
 @given(st.binary(max_size=300), st.integers(0, 80))
 def test_a_torn_or_foreign_word_is_none(data: bytes, at: int) -> None:
     item = (Kind.BAN, "s-1"), Register(2**50, 1)
-    whole = words.write(Word(1, 1, 1, items=(item,), branches=(b"123456",) * 16), b"s")
+    whole = messages.write(Message(1, 1, 1, items=(item,), branches=(b"123456",) * 16), b"s")
     torn = whole[:at] + data + whole[at + len(data) :]
-    assert torn == whole or words.read(torn, b"s") is None
-    assert words.read(data, b"s") is None
+    assert torn == whole or messages.read(torn, b"s") is None
+    assert messages.read(data, b"s") is None
 
 
 @pytest.mark.parametrize(
-    "word",
-    [Word(-1, 1, 1), Word(1, 1, 1, branches=(b"123456",) * 3), Word(1, 1, 1, branches=(b"1",) * 16),
-     Word(1, 1, 1, leaves=(16, (b"123456",) * 16, False)),
-     Word(1, 1, 1, items=(((Kind.BAN, "s"), Register(-1, 1)),)),
-     Word(1, 1, 1, items=(((9, "s"), Register(1, 1)),))],
+    "message",
+    [Message(-1, 1, 1), Message(1, 1, 1, branches=(b"123456",) * 3), Message(1, 1, 1, branches=(b"1",) * 16),
+     Message(1, 1, 1, leaves=(16, (b"123456",) * 16, False)),
+     Message(1, 1, 1, items=(((Kind.BAN, "s"), Register(-1, 1)),)),
+     Message(1, 1, 1, items=(((9, "s"), Register(1, 1)),))],
 )  # fmt: skip
-def test_a_word_that_says_what_cannot_be_is_none(word: Word) -> None:
-    assert words.read(words.write(word)) is None
+def test_a_word_that_says_what_cannot_be_is_none(message: Message) -> None:
+    assert messages.read(messages.write(message)) is None
 
 
 # --- what the decisions hear -------------------------------------------------------------------------------
@@ -346,7 +346,7 @@
 # --- fleets in virtual time --------------------------------------------------------------------------------
 SCENES: dict[str, dict[str, object]] = {
     "as in service": {},
-    "half of the words lost": {"drop": 0.5},
+    "half of the messages lost": {"drop": 0.5},
     "late and out of order": {"delay": (0.002, 0.6), "twice": 0.5},
     "one away for 60 s": {"cut": (5.0, 65.0, 1), "calm": 60.0, "seconds": 75.0},
     "two halves": {"cut": (5.0, 20.0, 2), "calm": 18.0, "seconds": 30.0},
@@ -367,7 +367,7 @@
         assert max(seen.caught_up_after, default=0.0) <= GIVE_UP.total_seconds() + 0.1
 
 
-def test_where_half_of_the_words_are_lost_late_and_overtaken_copies_are_equal_soon_every_time() -> None:
+def test_where_half_of_the_messages_are_lost_late_and_overtaken_copies_are_equal_soon_every_time() -> None:
     late = []
     for seed in range(100):
         scene = Scene(seconds=16.0, calm=6.0, changes=0.5, drop=0.5, delay=(0.002, 0.3), seed=seed)
@@ -383,10 +383,10 @@
         mine, theirs = Gossip(Store(0, 1), 5, T0, other), copies[other]
         mine.caught_up = True
         mine.store.set_ban("s-1", True, T0)
-        mine.heard(Word(other, 1, 1, branches=tuple(theirs.store.branch_hashes)), T0)
+        mine.heard(Message(other, 1, 1, branches=tuple(theirs.store.branch_hashes)), T0)
         mine.tick(T0 + timedelta(milliseconds=100))
         said = mine.take()[0]
         assert {say.peer for say in said} == {other}
-        assert [say for say in said if say.word.branches]
-        # And with the hashes of its leaves what hangs there, as it is little: one word's loss fewer.
-        assert any((Kind.BAN, "s-1") in dict(say.word.items) for say in said)
+        assert [say for say in said if say.message.branches]
+        # And with the hashes of its leaves what hangs there, as it is little: one message's loss fewer.
+        assert any((Kind.BAN, "s-1") in dict(say.message.items) for say in said)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -1,4 +1,4 @@
-"""Leases of quotas: the pure holder by hand and by a model, its words, and fleets in virtual time."""
+"""Leases of quotas: the pure holder by hand and by a model, its messages, and fleets in virtual time."""
 
 from __future__ import annotations
 
@@ -14,9 +14,9 @@
 from opalgauge.lab.quotas import TARIFFS, Tariff, Verdict, bound, by_tariff, replay
 from opalgauge.lab.shares import Scene, World
 from opalgauge.memory.sealed import LONGEST
-from opalgauge.shares import words
+from opalgauge.shares import messages
 from opalgauge.shares.lease import Action, Call, Leases, Rules, Say, Spent, Tell
-from opalgauge.shares.words import Grant, Need, Word
+from opalgauge.shares.messages import Grant, Message, Need
 from starlinggap import interface as i
 from starlinggap.brain import mix
 
@@ -235,12 +235,12 @@
 def test_who_has_the_counter_leaves_those_without_it_their_parts() -> None:
     post = Post(ahead=False)
     post.use(2)
-    post.leases.heard(Word(1, 1, 1, True), post.now)
+    post.leases.heard(Message(1, 1, 1, True), post.now)
     for n in range(5):
         post.use(1)
-        post.leases.heard(Word(1, 1, 2 + n, True), post.now)
+        post.leases.heard(Message(1, 1, 2 + n, True), post.now)
     assert post.told() == pytest.approx(2 + 1 + 2 * 4, abs=1.1)  # each unit stands for two
-    post.leases.heard(Word(1, 1, 99, False), post.now)
+    post.leases.heard(Message(1, 1, 99, False), post.now)
     post.use(2)
     assert post.told() == pytest.approx(9.0)
 
@@ -248,7 +248,7 @@
 def test_silence_counts_as_being_without_the_counter_for_a_while() -> None:
     post = Post(ahead=False)
     post.use(1)
-    post.leases.heard(Word(1, 1, 1, False), post.now)
+    post.leases.heard(Message(1, 1, 1, False), post.now)
     assert post.leases._kept(post.leases.accounts[ACCOUNT]) == 0.0
     post.step(1600 * MS, answering=True)
     assert post.leases._kept(post.leases.accounts[ACCOUNT]) == 0.5
@@ -281,9 +281,9 @@
         busy.step(40 * MS)
         idle.step(40 * MS)
         for say in [s for s in busy.said if s.peer == 1]:
-            idle.leases.heard(say.word, idle.now)
+            idle.leases.heard(say.message, idle.now)
         busy.said.clear()
-        if grants := [s for s in idle.said if s.word.grants]:
+        if grants := [s for s in idle.said if s.message.grants]:
             return grants
     raise AssertionError("nothing was given")
 
@@ -293,21 +293,21 @@
     grants = give_needs(busy, idle)
     before, gave = rights(busy), idle.leases.given
     for _ in range(3):
-        busy.leases.heard(grants[0].word, busy.now)
+        busy.leases.heard(grants[0].message, busy.now)
     assert rights(busy) == pytest.approx(before + gave)
     assert rights(idle) == pytest.approx(BURST / 2 - gave)
 
 
 def test_a_grant_to_a_former_life_or_of_another_window_gives_nothing() -> None:
     busy, idle = pair()
-    word = give_needs(busy, idle)[0].word
-    before, grant = rights(busy), word.grants[0]
+    message = give_needs(busy, idle)[0].message
+    before, grant = rights(busy), message.grants[0]
     for wrong in (
         dataclasses.replace(grant, life=grant.life - 1),
         dataclasses.replace(grant, window=(grant.window + 5) % 256),
         dataclasses.replace(grant, account=8),
     ):
-        busy.leases.heard(dataclasses.replace(word, grants=(wrong,)), busy.now)
+        busy.leases.heard(dataclasses.replace(message, grants=(wrong,)), busy.now)
     assert rights(busy) == before
 
 
@@ -324,8 +324,8 @@
             one.step()
         for say in post.said:
             if say.peer == other.leases.rules.me and not lost:
-                other.leases.heard(say.word, other.now)
-                other.leases.heard(say.word, other.now)
+                other.leases.heard(say.message, other.now)
+                other.leases.heard(say.message, other.now)
         post.said.clear()
         if int(post.now.timestamp() // 4) != window:
             break
@@ -333,33 +333,33 @@
         assert spent + rights(posts[0]) + rights(posts[1]) <= BURST + 1e-6
 
 
-# --- words -------------------------------------------------------------------------------------------------
+# --- messages --------------------------------------------------------------------------------------------
 NEED = Need(2**33 - 1, 3, 199, 200, 255, 1e5)
 GRANT = Grant(2**33 - 1, 255, 1e5, 2**42)
 
 
 def test_the_longest_word_fits_a_datagram_and_comes_back() -> None:
-    word = Word(199, 2**42, 2**30, True, (NEED,) * words.MOST_NEEDS, (GRANT,) * words.MOST_GRANTS)
-    data = words.write(word, b"secret")
-    assert len(data) <= LONGEST and words.read(data, b"secret") == word
-    assert words.read(data, b"other") is None and words.read(data[:-1], b"secret") is None
+    message = Message(199, 2**42, 2**30, True, (NEED,) * messages.MOST_NEEDS, (GRANT,) * messages.MOST_GRANTS)
+    data = messages.write(message, b"secret")
+    assert len(data) <= LONGEST and messages.read(data, b"secret") == message
+    assert messages.read(data, b"other") is None and messages.read(data[:-1], b"secret") is None
 
 
 @given(st.binary(max_size=300), st.integers(0, 60))
 def test_a_torn_or_foreign_word_is_none(data: bytes, at: int) -> None:
-    whole = words.write(Word(1, 1, 1, True, (NEED,), (GRANT,)), b"s")
+    whole = messages.write(Message(1, 1, 1, True, (NEED,), (GRANT,)), b"s")
     torn = whole[:at] + data + whole[at + len(data) :]
-    assert torn == whole or words.read(torn, b"s") is None
-    assert words.read(data, b"s") is None
+    assert torn == whole or messages.read(torn, b"s") is None
+    assert messages.read(data, b"s") is None
 
 
 @pytest.mark.parametrize(
-    "word",
-    [Word(1, 1, 1, True, (dataclasses.replace(NEED, spread=0),)), Word(-1, 1, 1, True),
-     Word(1, 2**60, 1, True), Word(1, 1, 1, False, (), (dataclasses.replace(GRANT, window=256),))],
+    "message",
+    [Message(1, 1, 1, True, (dataclasses.replace(NEED, spread=0),)), Message(-1, 1, 1, True),
+     Message(1, 2**60, 1, True), Message(1, 1, 1, False, (), (dataclasses.replace(GRANT, window=256),))],
 )  # fmt: skip
-def test_a_word_that_says_what_cannot_be_is_none(word: Word) -> None:
-    assert words.read(words.write(word)) is None
+def test_a_word_that_says_what_cannot_be_is_none(message: Message) -> None:
+    assert messages.read(messages.write(message)) is None
 
 
 # --- fleets in virtual time --------------------------------------------------------------------------------
@@ -367,8 +367,8 @@
 HALVES = (0, 0, 0, 1, 1, 1)
 SCENES: dict[str, dict[str, object]] = {
     "counter gone": {},
-    "half of the words lost": {"drop": 0.5},
-    "no words": {"drop": 1.0},
+    "half of the messages lost": {"drop": 0.5},
+    "no messages": {"drop": 1.0},
     "7.7 times slower": {"slow": 7.7},
     "gone for some": {"without": (0, 1, 2)},
     "two halves": {"groups": HALVES, "split": CUT},
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -1,4 +1,4 @@
-"""Zones: the pure judge with its words, the gateways' part, and fleets of 50 in virtual time."""
+"""Zones: the pure judge with its messages, the gateways' part, and fleets of 50 in virtual time."""
 
 from __future__ import annotations
 
@@ -13,10 +13,10 @@
 from opalgauge.lab.zones import Scene, World
 from opalgauge.memory.effects import AttemptSeen
 from opalgauge.memory.sealed import LONGEST
-from opalgauge.zones import words
+from opalgauge.zones import messages
 from opalgauge.zones.health import Opinion
+from opalgauge.zones.messages import Message, State, Told
 from opalgauge.zones.watch import Action, Judged, Note, Rules, Say, Watch
-from opalgauge.zones.words import State, Told, Word
 from starlinggap import interface as i
 from tests.rig import Rig, entry, settings
 
@@ -26,7 +26,7 @@
 
 
 class Post:
-    """One watch, with attempts and peers' words by hand."""
+    """One watch, with attempts and peers' messages by hand."""
 
     def __init__(self, rules: Rules = RULES, sizes: int = 3) -> None:
         self.now, self.number = T0, 0
@@ -46,7 +46,7 @@
     ) -> None:
         told = tuple(Told(o, state if n == 0 else State.IN, age, good) for n, o in enumerate(opinions))
         self.number += 1
-        self.watch.heard(Word(number, 1, self.number, told), self.now)
+        self.watch.heard(Message(number, 1, self.number, told), self.now)
 
     def step(self, span: timedelta = 50 * MS) -> None:
         until = self.now + span
@@ -262,7 +262,7 @@
     assert post.state() is State.RETURNING and 0.3 < post.watch.places[0].share < 0.6
 
 
-def test_words_stay_within_the_budget_whatever_changes() -> None:
+def test_messages_stay_within_the_budget_whatever_changes() -> None:
     for ingresses in (5, 13, 50, 200):
         post = Post(replace(RULES, ingresses=ingresses))
         for n in range(40):
@@ -285,26 +285,26 @@
     zones: list[tuple[Opinion, State, int, int, int]], sender: int, life: int, number: int
 ) -> None:
     rows = tuple(Told(o, s, timedelta(milliseconds=age), g, b) for o, s, age, g, b in zones)
-    data = words.write(Word(sender, life, number, rows), b"secret")
+    data = messages.write(Message(sender, life, number, rows), b"secret")
     assert len(data) <= LONGEST
-    back = words.read(data, b"secret")
+    back = messages.read(data, b"secret")
     assert back is not None and (back.sender, back.life, back.number) == (sender, life, number)
-    assert [z.state for z in back.zones] == [z.state for z in rows[: words.MOST_ZONES]]
+    assert [z.state for z in back.zones] == [z.state for z in rows[: messages.MOST_ZONES]]
 
 
 @hyp(max_examples=100, deadline=None, derandomize=True)
 @given(st.binary(max_size=300), st.integers(0, 40))
 def test_a_torn_or_foreign_datagram_is_no_word(data: bytes, at: int) -> None:
-    assert words.read(data, b"secret") is None
-    good = words.write(Word(1, 2, 3, (Told(WELL, State.IN, 0 * MS),)), b"secret")
-    assert words.read(good) is None  # sealed otherwise
-    assert words.read(good[:at], b"secret") is None or at >= len(good)
-    assert words.read(b"\x5a\x02" + good[2:], b"secret") is None
+    assert messages.read(data, b"secret") is None
+    good = messages.write(Message(1, 2, 3, (Told(WELL, State.IN, 0 * MS),)), b"secret")
+    assert messages.read(good) is None  # sealed otherwise
+    assert messages.read(good[:at], b"secret") is None or at >= len(good)
+    assert messages.read(b"\x5a\x02" + good[2:], b"secret") is None
 
 
-def test_old_and_impossible_words_change_nothing() -> None:
+def test_old_and_impossible_messages_change_nothing() -> None:
     post = Post()
-    new = Word(1, 5, 9, (Told(FAIL, State.LEFT, 0 * MS),))
+    new = Message(1, 5, 9, (Told(FAIL, State.LEFT, 0 * MS),))
     assert post.watch.fleet.hear(new, T0)
     for old in (replace(new, number=9), replace(new, life=4, number=99), replace(new, sender=0),
                 replace(new, sender=5)):  # fmt: skip
