--- a/opalgauge/cores/guardian.py
+++ b/opalgauge/cores/guardian.py
@@ -27,9 +27,10 @@
 from opalgauge.cores.board import Board
 from opalgauge.cores.shares import Load
 from opalgauge.cores.takeover import Course, Mark, course, settled
+from opalgauge.lifecycle.clock import Clock
 from opalgauge.lifecycle.config import Config, ConfigError, make_config
 from opalgauge.lifecycle.logs import Log
-from opalgauge.lifecycle.service import Clock, reread
+from opalgauge.lifecycle.reload import reread
 from opalgauge.lifecycle.sources import Reading, Source, told_again
 
 TICK = 0.025  # s between looks at the beats
--- a/opalgauge/cores/worker.py
+++ b/opalgauge/cores/worker.py
@@ -30,9 +30,10 @@
 from opalgauge.cores.board import Board, id_hash
 from opalgauge.cores.shares import Roster, Shares
 from opalgauge.cores.takeover import UNSURE
+from opalgauge.lifecycle.clock import Clock
 from opalgauge.lifecycle.config import Config, make_config
 from opalgauge.lifecycle.logs import make_log
-from opalgauge.lifecycle.service import LINGER, Clock, readdress
+from opalgauge.lifecycle.reload import LINGER, readdress
 from opalgauge.memory import effects as fx
 from opalgauge.memory import events as ev
 from opalgauge.memory.reducer import Reducer
--- a/opalgauge/lab/skewed.py
+++ b/opalgauge/lab/skewed.py
@@ -5,18 +5,18 @@
 import sys
 from datetime import timedelta
 
-from opalgauge.lifecycle import service
+from opalgauge.lifecycle.clock import Clock
 
 
 def main() -> None:
     off = timedelta(seconds=float(sys.argv.pop(1)))
-    true = service.Clock.__init__
+    true = Clock.__init__
 
-    def skewed(self: service.Clock) -> None:
+    def skewed(self: Clock) -> None:
         true(self)
         self.anchor += off
 
-    service.Clock.__init__ = skewed  # type: ignore[method-assign]
+    Clock.__init__ = skewed  # type: ignore[method-assign]
     from opalgauge.cli.main import main as command
 
     command()
--- a/opalgauge/lifecycle/service.py
+++ b/opalgauge/lifecycle/service.py
@@ -4,20 +4,21 @@
 
 import asyncio
 import signal
-import time
 from collections.abc import Awaitable, Callable
-from datetime import UTC, datetime, timedelta
+from datetime import timedelta
 from typing import TYPE_CHECKING, Protocol
 
 import uvloop
 
 from opalgauge.console.ban_file import BanFile
 from opalgauge.console.endpoint import admin_endpoint
+from opalgauge.lifecycle.clock import Clock
 from opalgauge.lifecycle.config import Config, ConfigError, Peering, make_config
 from opalgauge.lifecycle.logs import Log, make_log, plain
+from opalgauge.lifecycle.reload import LINGER, readdress, reread
 from opalgauge.lifecycle.sources import PlatformSource, Reading, Source
 from opalgauge.memory import effects as fx
-from opalgauge.memory.events import DrainAsked, Event, GraceOver, NodesNamed, Readdressed
+from opalgauge.memory.events import DrainAsked, Event, GraceOver
 from opalgauge.memory.reducer import Reducer
 from opalgauge.wire.clients import Clients
 from opalgauge.wire.exchange import Exchange
@@ -28,12 +29,10 @@
     from opalgauge.wire.peers import Peers
 
 GRACE = timedelta(milliseconds=550)  # the front deals out new connections for up to 400 ms after SIGTERM
-RELOAD_TRIES, RELOAD_PAUSE = 5, timedelta(milliseconds=100)
 # Where another process takes what is new, clients may use their connections for so long, and then they are
 # closed. What comes last has a second until the process is ended.
 LAST_CALLS = timedelta(milliseconds=2500)
 MARKS_ROUND = timedelta(milliseconds=250)  # what one process was told holds at the other within 1 s
-LINGER = timedelta(milliseconds=50)  # for the last answers to leave
 
 
 class Part(Protocol):
@@ -46,39 +45,6 @@
     def figures(self) -> list[str]: ...
 
 
-class Clock:
-    """Unix time, read once and then advanced by the monotonic clock: it never jumps."""
-
-    def __init__(self) -> None:
-        self.anchor, self.started = datetime.now(UTC), time.monotonic_ns()
-
-    def now(self) -> datetime:
-        return self.anchor + timedelta(microseconds=(time.monotonic_ns() - self.started) // 1000)
-
-
-def reread(source: Source, take: Callable[[Reading], None], log: Log, tries: int = RELOAD_TRIES) -> None:
-    """Reads the settings again and hands them on where they hold as a whole; else all goes on as before."""
-    try:
-        reading = source.read()
-    except ConfigError as bad:
-        # Guards against a file that is just being replaced, and against one that is no good at all.
-        if tries > 1:
-            wait = RELOAD_PAUSE.total_seconds()
-            asyncio.get_running_loop().call_later(wait, reread, source, take, log, tries - 1)
-        else:
-            log(f"reload: {bad}; going on as before")
-        return
-    take(reading)
-
-
-def readdress(report: Callable[[Event], None], config: Config) -> None:
-    """What a new configuration changes in service: the other parties' addresses."""
-    house = config.house
-    report(Readdressed(house.counter_address, house.node_list_address))
-    if not house.node_list_address:
-        report(NodesNamed(house.known))
-
-
 def watch_marks(loop: asyncio.AbstractEventLoop, ban_file: BanFile, report: Callable[[Event], None]) -> None:
     """Looks now and then at what staff told this ingress's other process."""
     ban_file.look(report)
