Let someone new try an ingress by two commands

Issue "Standard names" wants the front page to bring a new user to answered requests; so far an ingress needed a counter and stock nodes that the reader had to have. `opalgauge stand-ins FILE` stands in for those that a settings file names, at their addresses, on loopback only, and prints a request for curl.

--- a/opalgauge/cli/main.py
+++ b/opalgauge/cli/main.py
@@ -10,6 +10,7 @@
 COMMANDS = {
     "serve": "opalgauge.cli.serve",
     "check": "opalgauge.cli.check",
+    "stand-ins": "opalgauge.cli.stand_ins",
     "bench": "opalgauge.cli.bench",
     "experiment": "opalgauge.cli.experiment",
 }
