--- a/opalgauge/lab/copies.py
+++ b/opalgauge/lab/copies.py
@@ -2,19 +2,14 @@
 
 from __future__ import annotations
 
-import heapq
-import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from datetime import UTC, datetime, timedelta
-from typing import Any
+from datetime import timedelta
 
+from opalgauge.lab.simulation import ROUND, Simulation
 from opalgauge.replica import messages
 from opalgauge.replica.gossip import Gossip, Say
 from opalgauge.replica.store import Store
 
-EPOCH = datetime(2026, 12, 1, tzinfo=UTC)
-ROUND = 0.05
 MOST_IN = 100  # messages a second that an ingress takes in
 
 
@@ -46,14 +41,12 @@
     longest_word: int = 0
 
 
-class World:
-    """A scene, stepped by a queue of what happens next."""
+class World(Simulation):
+    """A scene."""
 
     def __init__(self, scene: Scene) -> None:
-        self.s, self.now, self.seen = scene, 0.0, Seen()
-        self.rng = random.Random(scene.seed)
-        self.queue: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.serial = 0
+        super().__init__(scene.seed)
+        self.s, self.seen = scene, Seen()
         self.skews = [self.rng.uniform(-scene.skew, scene.skew) for _ in range(scene.copies)]
         self.life = [0] * scene.copies
         self.said: dict[tuple[int, int], int] = {}
@@ -69,21 +62,12 @@
 
     def _copy(self, n: int) -> Gossip:
         store = Store(n, int(self.now * 1000))
-        return Gossip(store, self.s.copies, self._when(n), self.s.seed * 1000 + n)
-
-    def _when(self, n: int) -> datetime:
-        return EPOCH + timedelta(seconds=self.now + self.skews[n])
-
-    def _at(self, when: float, what: Callable[..., None], *about: Any) -> None:
-        self.serial += 1
-        heapq.heappush(self.queue, (when, self.serial, what, about))
+        return Gossip(store, self.s.copies, self._when(self.skews[n]), self.s.seed * 1000 + n)
 
     def play(self) -> Seen:
         last = max([self.s.calm, self.s.cut[1], *(when for when, _ in self.s.restarts)])
         equal_since, look = None, 0.0
-        while self.queue and self.queue[0][0] <= self.s.seconds:
-            self.now, _, what, about = heapq.heappop(self.queue)
-            what(*about)
+        while self._next(self.s.seconds):
             if self.now >= max(look, last):
                 look = self.now + 0.05
                 if len({tuple(c.store.branch_hashes) for c in self.copies}) > 1:
@@ -98,7 +82,7 @@
 
     def _change(self) -> None:
         n = self.rng.randrange(self.s.copies)
-        copy, now = self.copies[n], self._when(n)
+        copy, now = self.copies[n], self._when(self.skews[n])
         what, kind = self.rng.randrange(20), self.rng.random()
         self.seen.changed += 1
         if kind < 0.5:
@@ -125,7 +109,7 @@
     def _tick(self, n: int, life: int) -> None:
         if life == self.life[n]:
             self._at(self.now + ROUND, self._tick, n, life)
-            self.copies[n].tick(self._when(n))
+            self.copies[n].tick(self._when(self.skews[n]))
             self._send(n)
 
     def _send(self, n: int) -> None:
@@ -149,5 +133,5 @@
         key = n, int(self.now)
         self.heard[key] = self.heard.get(key, 0) + 1
         if self.heard[key] <= MOST_IN and (message := messages.read(data)) is not None:
-            self.copies[n].heard(message, self._when(n))
+            self.copies[n].heard(message, self._when(self.skews[n]))
             self._send(n)
--- a/opalgauge/lab/shares.py
+++ b/opalgauge/lab/shares.py
@@ -6,20 +6,17 @@
 
 from __future__ import annotations
 
-import heapq
-import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from datetime import UTC, datetime, timedelta
+from datetime import timedelta
 from typing import Any
 
 from opalgauge.lab.quotas import TARIFFS, Load, Share, Tariff, Verdict, by_tariff, replay
+from opalgauge.lab.simulation import EPOCH, Simulation
 from opalgauge.shares import messages
 from opalgauge.shares.lease import Call, Leases, Rules, Say, Tell
 from starlinggap import Gateway
 from starlinggap import interface as i
 
-EPOCH = datetime(2026, 12, 1, tzinfo=UTC)
 ROUND, TIMEOUT, SERVES = 0.02, 0.05, 0.05
 WAY = (0.0004, 0.0008)  # s one way to the counter
 
@@ -58,16 +55,15 @@
     rest: dict[str, Share] = field(default_factory=dict)  # and in the rest of the scene
 
 
-class World:
-    """A scene, stepped by a queue of what happens next."""
+class World(Simulation):
+    """A scene."""
 
     def __init__(self, scene: Scene) -> None:
-        self.s, self.now, self.seen = scene, 0.0, Seen()
-        self.rng = random.Random(scene.seed)
+        super().__init__(scene.seed)
+        self.s, self.seen = scene, Seen()
         self.load = Load(scene.tariffs, scene.ingresses, scene.seed, scene.shift)
         self.plans = tuple(i.Plan(rate=t.rate, burst=t.burst) for t in scene.tariffs)
-        self.queue: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.serial, self.free_at = 0, 0.0
+        self.free_at = 0.0
         self.totals: dict[int, list[float]] = {}
         self.life = [0] * scene.ingresses
         self.heard: dict[tuple[int, int], int] = {}
@@ -98,17 +94,9 @@
         rules = Rules(me, self.s.ingresses, plans, self.s.way != "even", self.s.way == "on")
         return Leases(rules, self._when(), int(self.now * 1000), self.s.seed + me)
 
-    def _when(self) -> datetime:
-        return EPOCH + timedelta(seconds=self.now)
-
-    def _at(self, when: float, what: Callable[..., None], *about: Any) -> None:
-        self.serial += 1
-        heapq.heappush(self.queue, (when, self.serial, what, about))
-
     def play(self) -> Seen:
-        while self.queue and self.queue[0][0] <= self.s.seconds + 6:
-            self.now, _, what, about = heapq.heappop(self.queue)
-            what(*about)
+        while self._next(self.s.seconds + 6):
+            pass
         seen, (begun, ended) = self.seen, self.s.cut
         seen.unanswered = len(self.asked)
         tariffs = self.load.tariffs
--- /dev/null
+++ b/opalgauge/lab/simulation.py
@@ -0,0 +1,36 @@
+"""Discrete events in virtual time: what the scenes without sockets are stepped by."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from datetime import UTC, datetime, timedelta
+from typing import Any
+
+EPOCH = datetime(2026, 12, 1, tzinfo=UTC)
+ROUND = 0.05  # s between two steps of a part that is stepped by time
+
+
+class Simulation:
+    """A queue of what happens next; what falls on one instant in the order in which it was asked for."""
+
+    def __init__(self, seed: int) -> None:
+        self.now, self.rng = 0.0, random.Random(seed)
+        self._queue: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._serial = 0
+
+    def _when(self, skew: float = 0.0) -> datetime:
+        return EPOCH + timedelta(seconds=self.now + skew)
+
+    def _at(self, when: float, what: Callable[..., None], *about: Any) -> None:
+        self._serial += 1
+        heapq.heappush(self._queue, (when, self._serial, what, about))
+
+    def _next(self, until: float) -> bool:
+        """Does what comes next; False where nothing does up to then."""
+        if not self._queue or self._queue[0][0] > until:
+            return False
+        self.now, _, what, about = heapq.heappop(self._queue)
+        what(*about)
+        return True
--- a/opalgauge/lab/zones.py
+++ b/opalgauge/lab/zones.py
@@ -5,23 +5,18 @@
 
 from __future__ import annotations
 
-import heapq
-import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from datetime import UTC, datetime, timedelta
-from typing import Any
+from datetime import timedelta
 
 from opalgauge.lab.nodes import Model
+from opalgauge.lab.simulation import ROUND, Simulation
 from opalgauge.memory.effects import AttemptSeen
 from opalgauge.zones import messages
 from opalgauge.zones.watch import Judged, Rules, Say, Watch
 from starlinggap import Gateway
 from starlinggap import interface as i
 
-EPOCH = datetime(2026, 12, 1, tzinfo=UTC)
 AIM, DEADLINE, DIAL = 1.2, 4.0, 0.1
-ROUND = 0.05
 
 
 @dataclass(slots=True)
@@ -61,14 +56,12 @@
     left: list[float] = field(default_factory=list)  # when each ingress left it
 
 
-class World:
-    """Everything of a scene, stepped by a queue of what happens next."""
+class World(Simulation):
+    """Everything of a scene."""
 
     def __init__(self, scene: Scene) -> None:
-        self.s, self.now, self.seen = scene, 0.0, Seen()
-        self.rng = random.Random(scene.seed)
-        self.queue: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.serial = 0
+        super().__init__(scene.seed)
+        self.s, self.seen = scene, Seen()
         self.models = [Model(work=scene.work, cold=scene.cold) for _ in range(scene.zones * scene.nodes)]
         self.entries = tuple(
             i.ServerEntry(n + 1, i.Health.READY, n // scene.nodes) for n in range(len(self.models))
@@ -112,17 +105,9 @@
         watch.listed(self.entries)
         return watch
 
-    def _when(self) -> datetime:
-        return EPOCH + timedelta(seconds=self.now)
-
-    def _at(self, when: float, what: Callable[..., None], *about: Any) -> None:
-        self.serial += 1
-        heapq.heappush(self.queue, (when, self.serial, what, about))
-
     def play(self) -> Seen:
-        while self.queue and self.queue[0][0] <= self.s.seconds + DEADLINE + 1:
-            self.now, _, what, about = heapq.heappop(self.queue)
-            what(*about)
+        while self._next(self.s.seconds + DEADLINE + 1):
+            pass
         self.seen.unanswered = len(self.open)
         first = self.models[: self.s.nodes]
         self.seen.overload = max(model.overload(self.s.cut[1]) for model in first)
