--- a/opalgauge/lab/cores.py
+++ b/opalgauge/lab/cores.py
@@ -16,7 +16,7 @@
 from hdrh.histogram import HdrHistogram
 
 from opalgauge.lab.load import HIGHEST
-from opalgauge.lab.town import CEILING, WINDOW, loads, results, town
+from opalgauge.lab.testbed import CEILING, WINDOW, loads, results, testbed
 from starlinggap.brain import mix
 
 ACCOUNTS = 200
@@ -92,7 +92,7 @@
 
 def measure(cores: int, seconds: float, say: Callable[[str], None]) -> dict[str, Any]:
     """One core count: throughput, answer times, cost, drift from the counter's count."""
-    with town(cores) as made:
+    with testbed(cores) as made:
         began = time.time()
         results(loads(_specs(made.address, 2.0, 0, 16 * cores, "w")), 30)
         cpu = made.cost()[0]
@@ -139,7 +139,7 @@
 
     The nodes answer after 20 ms, so that attempts are out when it happens.
     """
-    with town(cores, delay=0.02) as made:
+    with testbed(cores, delay=0.02) as made:
         began = time.time()
         inside = accounts()[:-1]  # so that whatever is refused is refused for the worker's sake
         results(loads(_specs(made.address, 2.0, 0, 16 * cores, "w", inside)), 30)
@@ -183,7 +183,7 @@
     """One account is half of all traffic: what each worker's CPU did meanwhile, in closed loop."""
     many = accounts()[:-1]
     many[0][3] = sum(a[3] for a in many[1:])
-    with town(cores) as made:
+    with testbed(cores) as made:
         results(loads(_specs(made.address, 3.0, 0, 48 * cores, "w", many)), 30)
         seats = [made.seat(n) for n in range(cores)]
         before = [sum(p.cpu_times()[:2]) for p in seats]
--- a/opalgauge/lab/request.py
+++ b/opalgauge/lab/request.py
@@ -20,7 +20,7 @@
 from aiohttp.http_parser import HttpRequestParser
 from aiohttp.http_writer import StreamWriter
 
-from opalgauge.lab.town import loads, results, town
+from opalgauge.lab.testbed import loads, results, testbed
 from opalgauge.memory import effects as fx
 from opalgauge.memory import events as ev
 from opalgauge.memory.reducer import Reducer
@@ -244,7 +244,7 @@
         "seconds": 1.0, "connections": 32, "rate": 0, "seed": 1, "tag": "r",
         "accounts": [[1000 + n, "negoce", 1, 1.0] for n in range(200)],
     }  # fmt: skip
-    with town(1) as made:
+    with testbed(1) as made:
         spec["address"] = made.address
         results(loads([spec]), 30)
         before = made.cost()[0]
--- a/opalgauge/lab/town.py
+++ b/opalgauge/lab/testbed.py
@@ -45,7 +45,7 @@
 
 
 @dataclass
-class Town:
+class Testbed:
     """`ingress` is its first process. `lines` is its log."""
 
     address: str
@@ -98,9 +98,9 @@
 
 
 @contextlib.contextmanager
-def town(
+def testbed(
     workers: int, nodes: int = 4, node_processes: int = 2, delay: float = 0.0, more: str = ""
-) -> Iterator[Town]:
+) -> Iterator[Testbed]:
     ports = free_ports(nodes + 2)
     port, quota, *rest = ports
     addresses = [f"127.0.0.1:{p}" for p in rest]
@@ -126,7 +126,7 @@
                 stderr=subprocess.PIPE, text=True, stdin=subprocess.DEVNULL,
                 env={k: v for k, v in os.environ.items() if not k.startswith("BALANCER_")},
             )  # fmt: skip
-            made = Town(f"127.0.0.1:{port}", ingress, parts)
+            made = Testbed(f"127.0.0.1:{port}", ingress, parts)
             assert ingress.stderr is not None
             reader = threading.Thread(target=_read, args=(ingress.stderr, made.lines), daemon=True)
             first = ingress.stderr.readline()
--- a/tests/cores_town.py
+++ b/tests/cores_harness.py
@@ -1,4 +1,4 @@
-"""An ingress of several workers on loopback, between the stand-ins of `tests/town.py`."""
+"""An ingress of several workers on loopback, between the stand-ins of `tests/harness.py`."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 from opalgauge.cores.shares import Roster, owners
-from tests import town
+from tests import harness
 
 WORKERS = 3
 SETTINGS = """
@@ -66,7 +66,7 @@
         self.writer.write(data)
 
     async def answer(self, limit: float = 15.0) -> bytes:
-        return await asyncio.wait_for(town.read_request(self.reader), limit)
+        return await asyncio.wait_for(harness.read_request(self.reader), limit)
 
     async def ask(self, data: bytes) -> int:
         self.send(data)
@@ -124,11 +124,11 @@
 @contextlib.asynccontextmanager
 async def fleet(node: str, quota: str, workers: int = WORKERS, more: str = "") -> AsyncIterator[Fleet]:
     with tempfile.TemporaryDirectory() as folder:
-        path, port = Path(folder) / "a.conf", town.free_port()
+        path, port = Path(folder) / "a.conf", harness.free_port()
         text = SETTINGS.format(port=port, workers=workers, quota=quota, node=node) + more
         path.write_text(text)
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "opalgauge.cli.main", "serve", "--settings", str(path), cwd=town.ROOT,
+            sys.executable, "-m", "opalgauge.cli.main", "serve", "--settings", str(path), cwd=harness.ROOT,
             stderr=asyncio.subprocess.PIPE,
         )  # fmt: skip
         made = Fleet(port, process, path, text)
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -26,8 +26,8 @@
 from opalgauge.wire.line import LineProtocol
 from opalgauge.wire.node_list import NodeListReader, read_nodes
 from starlinggap import interface as i
-from tests import town
-from tests.desk import SETTINGS, START, house
+from tests import harness
+from tests.reducer_rig import SETTINGS, START, house
 
 MS = timedelta(milliseconds=1)
 ALONE = replace(SETTINGS, counter=False)  # no counter: nothing stands between a request and its attempt
@@ -58,7 +58,7 @@
     writer: asyncio.StreamWriter
 
     async def request(self) -> bytes:
-        return await asyncio.wait_for(town.read_request(self.reader), 20)
+        return await asyncio.wait_for(harness.read_request(self.reader), 20)
 
     def say(self, data: bytes) -> None:
         self.writer.write(data)
@@ -139,7 +139,7 @@
 
         async def answer() -> bytes:
             try:
-                return await asyncio.wait_for(town.read_request(reader), 20)
+                return await asyncio.wait_for(harness.read_request(reader), 20)
             finally:
                 writer.close()
 
@@ -212,11 +212,11 @@
 
 
 def check(name: str, left: str = "1.0") -> bytes:
-    return town.request("GET", "/stock-check", left=left, name=name)
+    return harness.request("GET", "/stock-check", left=left, name=name)
 
 
 def place(name: str) -> bytes:
-    return town.request("POST", "/place-order", left="2.0", name=name)
+    return harness.request("POST", "/place-order", left="2.0", name=name)
 
 
 def tell(watch: Peer, seq: object, *hosts: object, whole: object = False, indent: int | None = None) -> None:
--- a/tests/rig.py
+++ b/tests/gateway_rig.py
@@ -25,7 +25,7 @@
     return replace(i.ServerEntry(server, i.Health.READY), **changes)  # type: ignore[arg-type]
 
 
-class Rig:
+class GatewayRig:
     """Feeds one gateway, answers its counter calls and fires its timers in their order."""
 
     def __init__(self, s: i.Settings, answering: bool = True, servers: int = 4, seed: int = 1) -> None:
--- a/tests/desk.py
+++ b/tests/reducer_rig.py
@@ -47,7 +47,7 @@
     return House(**{**told, **changes})
 
 
-class Desk:
+class ReducerRig:
     def __init__(self, **changes: Any) -> None:
         self.reducer = Reducer(house(**changes))
         self.now = START
--- a/tests/test_client_states.py
+++ b/tests/test_client_states.py
@@ -12,7 +12,7 @@
 from opalgauge.memory import effects as fx
 from opalgauge.memory import events as ev
 from starlinggap.interface import End
-from tests.desk import CHECK, PLACE, Desk
+from tests.reducer_rig import CHECK, PLACE, ReducerRig
 
 
 class State(Enum):
@@ -31,7 +31,7 @@
 class ClientConnections(RuleBasedStateMachine):
     def __init__(self) -> None:
         super().__init__()
-        self.desk = Desk(most_clients=6, crowd=4, counter_address="")
+        self.rig = ReducerRig(most_clients=6, crowd=4, counter_address="")
         self.model: dict[int, State] = {}
         self.orders: dict[int, int] = {}  # open orders, and whose
         self.draining = self.grace_over = False
@@ -40,7 +40,7 @@
 
     def follow(self) -> None:
         """Moves the model by the effects alone; an effect that its state forbids fails."""
-        for effect in self.desk.out[self.read :]:
+        for effect in self.rig.out[self.read :]:
             if isinstance(effect, fx.CloseClient):
                 assert self.model.pop(effect.client) in QUIET, "closed while something is owed over it"
             elif isinstance(effect, fx.AnswerClient):
@@ -51,18 +51,18 @@
             elif isinstance(effect, fx.Leave):
                 assert self.draining and not self.orders, "it leaves while an answer is owed"
                 assert not self.has(State.ARRIVING, State.BODY), "it leaves a request half read"
-        self.read = len(self.desk.out)
+        self.read = len(self.rig.out)
 
     def step(self, event: ev.Event) -> None:
-        self.desk.step(event)
+        self.rig.step(event)
         for n in range(self.read, 10**9):  # the counter's calls and their answers' own
-            if n == len(self.desk.out):
+            if n == len(self.rig.out):
                 break
-            effect = self.desk.out[n]
+            effect = self.rig.out[n]
             if isinstance(effect, fx.OpenLine) and effect.party is not fx.Party.NODE_LIST:
-                self.desk.step(ev.LineUp(effect.line))
+                self.rig.step(ev.LineUp(effect.line))
             elif isinstance(effect, fx.CallCounter):
-                self.desk.step(ev.CounterAnswered(effect.line, End.OK, 1.0, True))
+                self.rig.step(ev.CounterAnswered(effect.line, End.OK, 1.0, True))
         self.follow()
 
     def some(self, pick: int, *states: State) -> int:
@@ -96,7 +96,7 @@
     @rule(pick=st.integers(0, 9), kind=st.sampled_from([CHECK, PLACE]), left=st.integers(50, 3000))
     def asks(self, pick: int, kind: int, left: int) -> None:
         client = self.some(pick, State.SILENT, State.KEPT, State.ARRIVING, State.BODY)
-        self.desk.number = number = self.desk.number + 1
+        self.rig.number = number = self.rig.number + 1
         self.model[client], self.orders[number] = State.ASKING, client
         errand = ev.Errand("GET", "/stock-check", f"id-{number}", (), b"")
         self.step(ev.OrderTaken(number, errand, kind, 0, number, timedelta(milliseconds=left), 1.0, 2, 0,
@@ -109,10 +109,10 @@
         self.model[client] = State.KEPT
         self.step(ev.RequestOver(client))
 
-    @precondition(lambda self: bool(self.desk.reducer.books.attempts))
+    @precondition(lambda self: bool(self.rig.reducer.books.attempts))
     @rule(pick=st.integers(0, 9), end=st.sampled_from([End.OK, End.ERROR, End.FULL]))
     def its_node_answers(self, pick: int, end: End) -> None:
-        attempts = sorted(self.desk.reducer.books.attempts.items())
+        attempts = sorted(self.rig.reducer.books.attempts.items())
         self.step(ev.NodeAnswered(attempts[pick % len(attempts)][1].line, end, True, b""))
 
     @precondition(lambda self: bool(self.model))
@@ -125,7 +125,7 @@
 
     @rule(span=st.sampled_from([1, 90, 300, 1500, 2500]))
     def time_passes(self, span: int) -> None:
-        self.desk.pass_time(timedelta(milliseconds=span))
+        self.rig.pass_time(timedelta(milliseconds=span))
         self.follow()
 
     @precondition(lambda self: not self.draining)
@@ -143,7 +143,7 @@
 
     @invariant()
     def the_books_agree_with_the_model(self) -> None:
-        books = self.desk.reducer.books
+        books = self.rig.reducer.books
         there = {
             **dict.fromkeys(books.silent, State.SILENT),
             **dict.fromkeys(books.arriving, State.ARRIVING),
@@ -158,11 +158,11 @@
 
     def teardown(self) -> None:
         """Whatever happened: every order has its answer, and one that was asked to stop leaves."""
-        self.desk.pass_time(timedelta(seconds=8))
+        self.rig.pass_time(timedelta(seconds=8))
         self.follow()
         assert not self.orders and not self.has(State.SILENT, State.ARRIVING, State.KEPT)
         if self.draining and self.grace_over and not self.has(State.BODY):
-            assert self.desk.reducer.books.left
+            assert self.rig.reducer.books.left
 
 
 ClientConnections.TestCase.settings = settings(
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -16,11 +16,11 @@
 from opalgauge.memory import effects as fx
 from opalgauge.memory import events as ev
 from starlinggap import interface as i
-from tests import town
-from tests.desk import CHECK, PLACE, START, Desk, node
-from tests.rig import Rig, entry
-from tests.rig import settings as decisions
-from tests.test_sockets import town_with
+from tests import harness
+from tests.gateway_rig import GatewayRig, entry
+from tests.gateway_rig import settings as decisions
+from tests.reducer_rig import CHECK, PLACE, START, ReducerRig, node
+from tests.test_sockets import harness_with
 
 
 @pytest.mark.parametrize(
@@ -81,7 +81,7 @@
     """The module: a banned server gets nothing, and comes back cold."""
 
     def test_a_banned_server_gets_no_attempt_of_any_kind_whatever_the_list_says(self) -> None:
-        rig = Rig(decisions(), servers=2)
+        rig = GatewayRig(decisions(), servers=2)
         rig.give(i.Banned(1, True))
         rig.give(i.ServerList(i.ListKind.CHANGES, (i.ServerEntry(1, i.Health.GONE),)))
         rig.give(i.ServerList(i.ListKind.WHOLE, (entry(1, started=0.5), entry(2))))
@@ -92,12 +92,12 @@
         assert rig.gateway.avoided(rig.now) == 1
 
     def test_with_all_banned_requests_are_refused_at_once_with_advice(self) -> None:
-        rig = Rig(decisions(), servers=1)
+        rig = GatewayRig(decisions(), servers=1)
         rig.give(i.Banned(1, True))
         assert rig.ask() == "refused" and rig.refusals[-1].retry_after > 0
 
     def test_given_back_it_is_used_next_as_cold_and_without_old_beliefs(self) -> None:
-        rig = Rig(decisions(cold=16.0, cold_from=0.15), servers=12)
+        rig = GatewayRig(decisions(cold=16.0, cold_from=0.15), servers=12)
         rig.at(5.0)
         rig.gateway.servers[3].ill = {0: [1.0, 1e9, 8.0]}
         rig.give(i.Banned(3, True, rig.now))
@@ -115,85 +115,85 @@
 class TestReducer:
     """What the door's calls change, and what is counted."""
 
-    def call(self, desk: Desk, name: int, out: bool) -> fx.AnswerStaff:
-        desk.step(ev.MaintAsked(1, f"s-{name}", name, out))
-        return [e for e in desk.out if isinstance(e, fx.AnswerStaff)][-1]
+    def call(self, rig: ReducerRig, name: int, out: bool) -> fx.AnswerStaff:
+        rig.step(ev.MaintAsked(1, f"s-{name}", name, out))
+        return [e for e in rig.out if isinstance(e, fx.AnswerStaff)][-1]
 
     def test_out_twice_and_back_once_is_back_and_the_file_comes_before_the_yes(self) -> None:
-        desk = Desk(nodes=2)
-        assert self.call(desk, 1, True).yes and self.call(desk, 1, True).yes
-        kept = [n for n, e in enumerate(desk.out) if isinstance(e, fx.KeepMarks)]
-        said = [n for n, e in enumerate(desk.out) if isinstance(e, fx.AnswerStaff)]
+        rig = ReducerRig(nodes=2)
+        assert self.call(rig, 1, True).yes and self.call(rig, 1, True).yes
+        kept = [n for n, e in enumerate(rig.out) if isinstance(e, fx.KeepMarks)]
+        said = [n for n, e in enumerate(rig.out) if isinstance(e, fx.AnswerStaff)]
         assert len(kept) == 1 and kept[0] < said[0]
-        assert desk.reducer.figures().avoided_nodes == 1
-        assert self.call(desk, 1, False).yes and desk.reducer.figures().avoided_nodes == 0
+        assert rig.reducer.figures().avoided_nodes == 1
+        assert self.call(rig, 1, False).yes and rig.reducer.figures().avoided_nodes == 0
 
     def test_an_unknown_one_is_owed_a_no_and_one_that_is_out_can_always_come_back(self) -> None:
-        desk = Desk(nodes=1)
-        assert not self.call(desk, 9, True).yes and not self.call(desk, 9, False).yes
-        assert self.call(desk, 1, False).yes  # in use already
-        assert self.call(desk, 1, True).yes
-        question = desk.list_question()
-        desk.step(ev.NodeListAnswered(question.line, True, 8, i.ListKind.WHOLE, (node(2),)))
-        assert self.call(desk, 1, False).yes
+        rig = ReducerRig(nodes=1)
+        assert not self.call(rig, 9, True).yes and not self.call(rig, 9, False).yes
+        assert self.call(rig, 1, False).yes  # in use already
+        assert self.call(rig, 1, True).yes
+        question = rig.list_question()
+        rig.step(ev.NodeListAnswered(question.line, True, 8, i.ListKind.WHOLE, (node(2),)))
+        assert self.call(rig, 1, False).yes
 
     def test_a_node_taken_out_loses_its_idle_connections_and_finishes_what_is_there(self) -> None:
-        desk = Desk(nodes=1)
-        desk.admit(CHECK)
-        desk.step(ev.NodeAnswered(desk.attempt().line, i.End.OK, True, b""))
-        desk.admit(CHECK)
-        desk.admit(PLACE)
-        lines = [e.line for e in desk.out if isinstance(e, fx.SendAttempt)]
-        desk.step(ev.NodeAnswered(lines[1], i.End.OK, True, b""))
-        self.call(desk, 1, True)
-        closed = [e.line for e in desk.out if isinstance(e, fx.CloseLine)]
+        rig = ReducerRig(nodes=1)
+        rig.admit(CHECK)
+        rig.step(ev.NodeAnswered(rig.attempt().line, i.End.OK, True, b""))
+        rig.admit(CHECK)
+        rig.admit(PLACE)
+        lines = [e.line for e in rig.out if isinstance(e, fx.SendAttempt)]
+        rig.step(ev.NodeAnswered(lines[1], i.End.OK, True, b""))
+        self.call(rig, 1, True)
+        closed = [e.line for e in rig.out if isinstance(e, fx.CloseLine)]
         assert lines[1] in closed and lines[2] not in closed
-        desk.step(ev.NodeAnswered(lines[2], i.End.OK, True, b"done"))
-        assert desk.answers[-1].status == 200
-        desk.admit(PLACE)
-        assert desk.answers[-1].status == 429 and desk.answers[-1].retry_after
+        rig.step(ev.NodeAnswered(lines[2], i.End.OK, True, b"done"))
+        assert rig.answers[-1].status == 200
+        rig.admit(PLACE)
+        assert rig.answers[-1].status == 429 and rig.answers[-1].retry_after
 
     def test_what_the_other_process_was_told_holds_unless_this_one_was_told_later(self) -> None:
-        desk = Desk(nodes=2)
-        desk.step(ev.MarksFound((ev.MaintMark("s-1", 1, True, START),)))
-        assert desk.reducer.figures().avoided_nodes == 1
-        desk.pass_time(timedelta(seconds=1))
-        self.call(desk, 1, False)
-        desk.step(ev.MarksFound((ev.MaintMark("s-1", 1, True, START),)))
-        assert desk.reducer.figures().avoided_nodes == 0
+        rig = ReducerRig(nodes=2)
+        rig.step(ev.MarksFound((ev.MaintMark("s-1", 1, True, START),)))
+        assert rig.reducer.figures().avoided_nodes == 1
+        rig.pass_time(timedelta(seconds=1))
+        self.call(rig, 1, False)
+        rig.step(ev.MarksFound((ev.MaintMark("s-1", 1, True, START),)))
+        assert rig.reducer.figures().avoided_nodes == 0
 
     @given(st.lists(st.sampled_from(["check", "place", "serve", "error", "leave", "late", "stale", "cut"]),
                     max_size=40))  # fmt: skip
     @settings(derandomize=True, max_examples=60, deadline=None)
     def test_what_was_taken_is_all_accounted_for(self, steps: list[str]) -> None:
-        desk, taken = Desk(nodes=2, most_orders=6), 0
+        rig, taken = ReducerRig(nodes=2, most_orders=6), 0
         for step in steps:
-            out = [a for a in desk.reducer.books.attempts.values()]
+            out = [a for a in rig.reducer.books.attempts.values()]
             if step in ("check", "place"):
                 taken += 1
-                desk.order(CHECK if step == "check" else PLACE, account=1000 + taken)
-                desk.count(total=1.0)
-                desk.read_last_window()
+                rig.order(CHECK if step == "check" else PLACE, account=1000 + taken)
+                rig.count(total=1.0)
+                rig.read_last_window()
             elif step == "late":
-                desk.pass_time(timedelta(seconds=1))
-            elif step == "leave" and desk.reducer.books.asking:
-                desk.step(ev.ClientLeft(next(iter(desk.reducer.books.asking))))
+                rig.pass_time(timedelta(seconds=1))
+            elif step == "leave" and rig.reducer.books.asking:
+                rig.step(ev.ClientLeft(next(iter(rig.reducer.books.asking))))
             elif out and step == "cut":
-                desk.step(ev.LineEnded(out[0].line, ev.Reached.WRITING))
+                rig.step(ev.LineEnded(out[0].line, ev.Reached.WRITING))
             elif out and step == "stale":
-                desk.step(ev.LineStale(out[0].line))
+                rig.step(ev.LineStale(out[0].line))
             elif out and step in ("serve", "error"):
                 end = i.End.OK if step == "serve" else i.End.ERROR
-                desk.step(ev.NodeAnswered(out[0].line, end, True, b""))
-            desk.bring_up()
-            f, gone = desk.reducer.figures(), desk.reducer.books.tally.gone
+                rig.step(ev.NodeAnswered(out[0].line, end, True, b""))
+            rig.bring_up()
+            f, gone = rig.reducer.figures(), rig.reducer.books.tally.gone
             assert taken == sum(f.passed) + sum(f.dropped) + sum(f.failed) + f.in_progress + gone
             assert f.tries >= sum(f.passed)
 
 
 def test_the_door_on_the_program() -> None:
     async def scene() -> None:
-        async with town_with(lambda r, w: town.OK) as (ingress, _, __):
+        async with harness_with(lambda r, w: harness.OK) as (ingress, _, __):
             silent = [await asyncio.open_connection(*ingress.door) for _ in range(20)]
             silent[0][1].write(b"sta")
             endless = await asyncio.open_connection(*ingress.door)
@@ -221,16 +221,16 @@
 
 def test_the_door_answers_within_a_turn_of_a_pressed_loop() -> None:
     async def scene() -> None:
-        async with town_with(lambda r, w: town.OK) as (ingress, _, __):
+        async with harness_with(lambda r, w: harness.OK) as (ingress, _, __):
             clients, each, answered = 40, 20, 0
 
             async def client(me: int) -> None:
                 nonlocal answered
                 reader, writer = await asyncio.open_connection(*ingress.address)
-                asks = (town.request("GET", "/stock-check", name=f"{me}-{n}") for n in range(each))
+                asks = (harness.request("GET", "/stock-check", name=f"{me}-{n}") for n in range(each))
                 writer.write(b"".join(asks))
                 for _ in range(each):
-                    await town.read_request(reader)
+                    await harness.read_request(reader)
                     answered += 1
                 writer.close()
 
--- a/tests/test_cores_scenes.py
+++ b/tests/test_cores_scenes.py
@@ -9,11 +9,11 @@
 
 import pytest
 
-from tests import town
-from tests.cores_town import Fleet, account_of, fleet, order
+from tests import harness
+from tests.cores_harness import Fleet, account_of, fleet, order
 
 STOP, KILL = signal.SIGSTOP, signal.SIGKILL
-Scene = Callable[[Fleet, town.Seen], Awaitable[None]]
+Scene = Callable[[Fleet, harness.Seen], Awaitable[None]]
 
 
 class Node:
@@ -25,17 +25,17 @@
     async def __call__(self, request: bytes, _: asyncio.StreamWriter) -> bytes:
         if b"slow" in request:
             await self.go.wait()
-        return town.OK
+        return harness.OK
 
 
 def play(
-    scene: Callable[[Fleet, town.Seen, Node], Awaitable[None]], workers: int = 3, more: str = ""
+    scene: Callable[[Fleet, harness.Seen, Node], Awaitable[None]], workers: int = 3, more: str = ""
 ) -> None:
     async def run() -> None:
         node = Node()
         async with (
-            town.party(node) as (at, seen),
-            town.party(town.counter()) as (quota, _),
+            harness.party(node) as (at, seen),
+            harness.party(harness.counter()) as (quota, _),
             fleet(at, quota, workers, more) as made,
         ):
             await scene(made, seen, node)
@@ -43,7 +43,7 @@
     asyncio.run(run())
 
 
-async def arrived(seen: town.Seen, many: int) -> None:
+async def arrived(seen: harness.Seen, many: int) -> None:
     async with asyncio.timeout(10):
         while len(seen.requests) < many:
             await asyncio.sleep(0.01)
@@ -64,7 +64,7 @@
 ) -> None:
     owner, lost, how = LOST[case]
 
-    async def scene(ingress: Fleet, seen: town.Seen, _: Node) -> None:
+    async def scene(ingress: Fleet, seen: harness.Seen, _: Node) -> None:
         account = account_of(owner)
         client, others = await ingress.client(), [await ingress.client(), await ingress.client()]
         second = await ingress.client()  # seat 0 again
@@ -91,7 +91,7 @@
 
 @pytest.mark.parametrize("how", [STOP, KILL])
 def test_a_request_whose_holder_is_lost_still_gets_the_answer_that_its_owner_brings(how: int) -> None:
-    async def scene(ingress: Fleet, seen: town.Seen, node: Node) -> None:
+    async def scene(ingress: Fleet, seen: harness.Seen, node: Node) -> None:
         client = await ingress.client()  # held by seat 0
         client.send(order("place-order", account_of(1), "slow"))
         await arrived(seen, 1)
@@ -106,7 +106,7 @@
 
 @pytest.mark.parametrize("how", [STOP, KILL])
 def test_connections_between_requests_go_on_at_another_worker(how: int) -> None:
-    async def scene(ingress: Fleet, seen: town.Seen, _: Node) -> None:
+    async def scene(ingress: Fleet, seen: harness.Seen, _: Node) -> None:
         client = await ingress.client()
         assert await client.ask(order("place-order", account_of(2), "a")) == 200
         ingress.signal(0, how)
@@ -118,7 +118,7 @@
 
 
 def test_a_request_that_a_stalled_worker_had_half_read_is_refused_whole() -> None:
-    async def scene(ingress: Fleet, seen: town.Seen, _: Node) -> None:
+    async def scene(ingress: Fleet, seen: harness.Seen, _: Node) -> None:
         client = await ingress.client()
         whole = order("place-order", account_of(0), "a", more="Content-Length: 3\r\n") + b"abc"
         client.send(whole[:-2])
@@ -136,8 +136,8 @@
     # Its counter is silent, so that the order is still being decided about.
     async def run() -> None:
         async with (
-            town.party(town.silent) as (at, seen),
-            town.party(town.silent) as (quota, _),
+            harness.party(harness.silent) as (at, seen),
+            harness.party(harness.silent) as (quota, _),
             fleet(at, quota, more="counter-timeout 30s\n") as ingress,
         ):
             client = await ingress.client()
@@ -151,7 +151,7 @@
 
 
 def test_an_id_that_is_open_at_one_core_is_turned_away_at_every_other() -> None:
-    async def scene(ingress: Fleet, seen: town.Seen, node: Node) -> None:
+    async def scene(ingress: Fleet, seen: harness.Seen, node: Node) -> None:
         clients = [await ingress.client() for _ in range(3)]
         clients[0].send(order("place-order", account_of(0), "slow-id"))
         await arrived(seen, 1)
@@ -168,9 +168,9 @@
     async def run() -> None:
         node = Node()
         async with (
-            town.party(node) as (at, _),
-            town.party(node) as (other, seen),
-            town.party(town.counter()) as (quota, _),
+            harness.party(node) as (at, _),
+            harness.party(node) as (other, seen),
+            harness.party(harness.counter()) as (quota, _),
             fleet(at, quota) as ingress,
         ):
             ingress.signal(1, STOP)
@@ -193,7 +193,7 @@
 
 
 def test_sigterm_while_a_worker_is_stalled_answers_all_that_was_taken_and_leaves_with_0() -> None:
-    async def scene(ingress: Fleet, seen: town.Seen, node: Node) -> None:
+    async def scene(ingress: Fleet, seen: harness.Seen, node: Node) -> None:
         clients = [await ingress.client() for _ in range(3)]
         for seat, client in enumerate(clients):
             client.send(order("place-order", account_of(seat), f"slow-{seat}"))
@@ -214,7 +214,7 @@
 
 
 def test_a_worker_that_keeps_ending_is_tried_ever_more_slowly_told_once_and_the_rest_serves_on() -> None:
-    async def scene(ingress: Fleet, _: town.Seen, __: Node) -> None:
+    async def scene(ingress: Fleet, _: harness.Seen, __: Node) -> None:
         client = await ingress.client()
         for _n in range(4):
             await ingress.until("a life", lambda: 1 in ingress.pids())
@@ -231,7 +231,7 @@
 
 @pytest.mark.parametrize("stalled", [False, True])
 def test_no_worker_serves_on_without_the_guardian(stalled: bool) -> None:
-    async def scene(ingress: Fleet, seen: town.Seen, node: Node) -> None:
+    async def scene(ingress: Fleet, seen: harness.Seen, node: Node) -> None:
         client = await ingress.client()
         client.send(order("place-order", account_of(1), "slow"))
         await arrived(seen, 1)
@@ -263,12 +263,12 @@
         totals["all"] = totals.get("all", 0.0) + float(by)
         return answer  # type: ignore[no-any-return]
 
-    counter = town.counter()
+    counter = harness.counter()
 
     async def run() -> None:
         async with (
-            town.party(lambda r, w: town.OK) as (at, seen),
-            town.party(count) as (quota, _),
+            harness.party(lambda r, w: harness.OK) as (at, seen),
+            harness.party(count) as (quota, _),
             fleet(at, quota) as ingress,
         ):
             account = account_of(1)
@@ -302,7 +302,7 @@
 def test_bad_input_is_answered_on_every_core_and_kills_none() -> None:
     from tests.test_sockets import BAD
 
-    async def scene(ingress: Fleet, seen: town.Seen, _: Node) -> None:
+    async def scene(ingress: Fleet, seen: harness.Seen, _: Node) -> None:
         before = ingress.pids()
         for name, (data, expected) in BAD.items():
             client = await ingress.client()
@@ -314,12 +314,12 @@
 
 
 def test_a_start_that_cannot_work_ends_with_2_and_leaves_no_worker() -> None:
-    async def scene(ingress: Fleet, _: town.Seen, __: Node) -> None:
+    async def scene(ingress: Fleet, _: harness.Seen, __: Node) -> None:
         import sys
 
         second = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "opalgauge.cli.main", "serve", "--settings", str(ingress.path),
-            cwd=town.ROOT, stderr=asyncio.subprocess.PIPE,
+            cwd=harness.ROOT, stderr=asyncio.subprocess.PIPE,
         )  # fmt: skip
         _out, err = await asyncio.wait_for(second.communicate(), 30)
         assert second.returncode == 2 and b"cannot start: " in err and b"in use" in err
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -14,9 +14,9 @@
 from opalgauge.memory.events import Readdressed
 from opalgauge.memory.state import Stage
 from starlinggap import interface as i
-from tests import town
+from tests import harness
 from tests.crossing import ALONE, MS, Peer, Scene, check, first, place, play, scene, told, until
-from tests.desk import SETTINGS
+from tests.reducer_rig import SETTINGS
 
 KEYED = replace(
     ALONE, classes=(ALONE.classes[0], replace(ALONE.classes[1], effect=i.Effect.KEYED, window=0.3))
@@ -395,7 +395,7 @@
         async with scene() as here:
             here.exchange.gate.clear()
             _, writer = await here.client()
-            whole = town.request("POST", "/place-order", b"x" * (begun + rest), left="2.0", name="one")
+            whole = harness.request("POST", "/place-order", b"x" * (begun + rest), left="2.0", name="one")
             writer.write(whole[:-rest])
             await until(lambda: here.books.orders)
             writer.write(whole[-rest:])
@@ -471,7 +471,7 @@
     async def talk(peer: Peer) -> None:
         while True:
             try:
-                data = await town.read_request(peer.reader)
+                data = await harness.read_request(peer.reader)
             except (asyncio.IncompleteReadError, ConnectionError):
                 return
             found = re.search(rb"X-Correlation-Id: (\S+)", data)
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -13,7 +13,7 @@
 
 from opalgauge.memory.events import DrainAsked, GraceOver
 from opalgauge.wire import clients as wire
-from tests import town
+from tests import harness
 from tests.crossing import Scene, check, play, scene, told, until
 
 
@@ -49,7 +49,7 @@
     async def answer(self) -> bytes:
         reader, writer = await asyncio.open_connection(sock=self.socket)
         try:
-            return await asyncio.wait_for(town.read_request(reader), 20)
+            return await asyncio.wait_for(harness.read_request(reader), 20)
         finally:
             writer.close()
 
@@ -229,8 +229,8 @@
 @pytest.mark.parametrize(
     "data",
     [
-        town.request("POST", "/place-order", more="Content-Length: 60000000\r\n"),
-        town.request("POST", "/nothing", more="Content-Length: 90000\r\n"),
+        harness.request("POST", "/place-order", more="Content-Length: 60000000\r\n"),
+        harness.request("POST", "/nothing", more="Content-Length: 90000\r\n"),
         b"no request at all\r\n\r\n",
         b"GET /stock-check HTTP/1.1\r\nConnection: close\r\n\r\n",
     ],
@@ -329,8 +329,8 @@
         server = await asyncio.start_unix_server(old, str(tmp_path / "opalgauge.kin"))
         listener = socket.create_server(("127.0.0.1", 0))
         async with (
-            town.party(town.silent) as (other, _),
-            town.starting(other, other, other, listener, str(tmp_path)) as ingress,
+            harness.party(harness.silent) as (other, _),
+            harness.starting(other, other, other, listener, str(tmp_path)) as ingress,
         ):
             await asyncio.wait_for(asked.wait(), 60)
             ingress.process.send_signal(signal.SIGTERM)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -10,7 +10,7 @@
 import starlinggap
 from starlinggap import Gateway
 from starlinggap import interface as i
-from tests.rig import settings
+from tests.gateway_rig import settings
 from tests.test_rules import CEILING, CLASSES, World
 
 SOURCE = Path(starlinggap.__file__).with_name("brain.py").read_text()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -21,41 +21,41 @@
 from opalgauge.memory import events as ev
 from starlinggap import interface as i
 from starlinggap import snapshot
-from tests import town
-from tests.desk import CHECK, START, Desk
-from tests.rig import Rig, settings
+from tests import harness
+from tests.gateway_rig import GatewayRig, settings
+from tests.reducer_rig import CHECK, START, ReducerRig
 
 
 def test_a_process_with_a_successor_leaves_once_its_clients_have_their_last_answers() -> None:
-    desk = Desk()
+    rig = ReducerRig()
     for client in (1, 2):
-        desk.step(ev.ClientCame(client))
-    desk.admit(CHECK)
-    line = desk.attempt().line
-    desk.step(ev.DrainAsked(successor=True))
-    assert fx.StopAccepting() in desk.out and fx.CloseFront() not in desk.out
-    desk.step(ev.NodeAnswered(line, i.End.OK, True, b""))
-    assert desk.answers[-1].last
-    desk.step(ev.ClientLeft(1))
-    assert fx.Leave() not in desk.out  # the other client may still ask
-    desk.step(ev.ClientLeft(2))
-    assert fx.Leave() in desk.out
+        rig.step(ev.ClientCame(client))
+    rig.admit(CHECK)
+    line = rig.attempt().line
+    rig.step(ev.DrainAsked(successor=True))
+    assert fx.StopAccepting() in rig.out and fx.CloseFront() not in rig.out
+    rig.step(ev.NodeAnswered(line, i.End.OK, True, b""))
+    assert rig.answers[-1].last
+    rig.step(ev.ClientLeft(1))
+    assert fx.Leave() not in rig.out  # the other client may still ask
+    rig.step(ev.ClientLeft(2))
+    assert fx.Leave() in rig.out
 
 
 def test_an_upgrade_under_load_turns_nothing_back_and_keeps_what_staff_said() -> None:
     async def scene() -> None:
         async def slow(_: bytes, __: asyncio.StreamWriter) -> bytes:
             await asyncio.sleep(0.02)
-            return town.OK
+            return harness.OK
 
         with socket.socket() as listener, tempfile.TemporaryDirectory() as scratch:
             listener.bind(("127.0.0.1", 0))
             listener.listen(64)
             async with (
-                town.party(slow) as (node_at, _),
-                town.party(town.counter()) as (quota_at, _),
-                town.party(town.silent) as (list_at, _),
-                town.ingress(node_at, quota_at, list_at, listener, scratch) as old,
+                harness.party(slow) as (node_at, _),
+                harness.party(harness.counter()) as (quota_at, _),
+                harness.party(harness.silent) as (list_at, _),
+                harness.ingress(node_at, quota_at, list_at, listener, scratch) as old,
             ):
                 over = False
                 answers: list[bytes] = []
@@ -68,8 +68,8 @@
                             reader, writer = await asyncio.open_connection(*old.address)
                         assert reader is not None
                         n += 1
-                        writer.write(town.request("GET", "/stock-check", name=f"{me}-{n}"))
-                        answers.append(await town.read_request(reader))
+                        writer.write(harness.request("GET", "/stock-check", name=f"{me}-{n}"))
+                        answers.append(await harness.read_request(reader))
                         if b"connection: close" in answers[-1].lower():
                             writer.close()
                             writer = None
@@ -78,7 +78,7 @@
 
                 asking = [asyncio.create_task(client(me)) for me in range(6)]
                 assert (await old.call(b"maint-on s-1\n")).startswith(b"200")
-                async with town.ingress(node_at, quota_at, list_at, listener, scratch) as new:
+                async with harness.ingress(node_at, quota_at, list_at, listener, scratch) as new:
                     assert (await new.call(b"stats\n")).find(b"skipped_backends=1") > 0
                     for process in (old, new):  # a new configuration in the overlap, at either
                         await process.reconfigure()
@@ -96,20 +96,20 @@
 
 
 def test_what_one_gateway_has_learned_another_takes_over_and_refuses_what_is_no_good() -> None:
-    old = Rig(settings(), servers=3)
+    old = GatewayRig(settings(), servers=3)
     for n in range(40):
         old.ask(customer=n % 5, step=0.01)
         if old.last() == "sent":
             old.finish(i.End.ERROR if n == 7 else i.End.OK)
     old.gateway.ask = 0.4
-    new = Rig(settings(), servers=3, seed=2)
+    new = GatewayRig(settings(), servers=3, seed=2)
     told = json.loads(json.dumps(snapshot.take(old.gateway)))
     snapshot.give(new.gateway, told, old.now)
     assert snapshot.take(new.gateway) == told and new.gateway.ask == 0.4
     assert new.gateway.customers[1].deficit > 0
     spoils: list[dict[str, object]] = [{"plans": 9}, {"customers": [[1]]}, {"learned": {}}, {"servers": 3}]
     for spoil in spoils:
-        fresh = Rig(settings(), servers=3)
+        fresh = GatewayRig(settings(), servers=3)
         before = snapshot.take(fresh.gateway)
         with pytest.raises(snapshot.Unusable):
             snapshot.give(fresh.gateway, {**told, **spoil}, old.now)
@@ -135,11 +135,11 @@
 
 
 def test_two_processes_share_one_part_of_a_ceiling() -> None:
-    desk, heard = Desk(), list[i.Event]()
-    heard = desk.listen()
+    rig, heard = ReducerRig(), list[i.Event]()
+    heard = rig.listen()
     for processes, parts in ((1, 1), (2, 2), (1, 1)):
-        desk.step(ev.ProcessesSeen(processes))
-        desk.order(CHECK)
+        rig.step(ev.ProcessesSeen(processes))
+        rig.order(CHECK)
         assert [e for e in heard if isinstance(e, i.Request)][-1].parts == parts
 
 
--- a/tests/test_line_states.py
+++ b/tests/test_line_states.py
@@ -12,7 +12,7 @@
 from opalgauge.memory import events as ev
 from opalgauge.memory.state import Stage
 from starlinggap.interface import End, Health, ListKind
-from tests.desk import CHECK, PLACE, Desk, node
+from tests.reducer_rig import CHECK, PLACE, ReducerRig, node
 
 
 class Lines(RuleBasedStateMachine):
@@ -23,7 +23,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.desk = Desk(most_lines=4, nodes=2)
+        self.rig = ReducerRig(most_lines=4, nodes=2)
         self.model: dict[int, Stage] = {}
         self.rested: dict[int, datetime] = {}
         self.listed = dict.fromkeys((1, 2), Health.READY)
@@ -35,7 +35,7 @@
 
     def follow(self) -> None:
         """Moves the model by the effects alone; an effect that its state forbids fails."""
-        for effect in self.desk.out[self.read :]:
+        for effect in self.rig.out[self.read :]:
             if isinstance(effect, fx.OpenLine) and effect.party is fx.Party.STOCK_NODE:
                 self.model[effect.line] = Stage.OPENING
                 number = int(effect.address[-1])
@@ -43,8 +43,8 @@
             elif isinstance(effect, fx.SendAttempt):
                 assert self.model[effect.line] in (Stage.IDLE, Stage.OPENING)
                 if self.model[effect.line] is Stage.IDLE:
-                    settled = self.desk.now - self.rested[effect.line]
-                    assert settled >= self.desk.reducer.house.settling, "it has not settled"
+                    settled = self.rig.now - self.rested[effect.line]
+                    assert settled >= self.rig.reducer.house.settling, "it has not settled"
                 self.model[effect.line] = Stage.BUSY
                 number, started = self.process[effect.line]
                 assert self.listed[number] is Health.READY, "written to a node that is to get nothing more"
@@ -54,7 +54,7 @@
             elif isinstance(effect, fx.AnswerClient):
                 assert effect.order in self.open_orders, "a second answer"
                 self.open_orders.remove(effect.order)
-        self.read = len(self.desk.out)
+        self.read = len(self.rig.out)
 
     def some(self, stage: Stage, pick: int) -> int:
         lines = sorted(n for n, s in self.model.items() if s is stage)
@@ -65,20 +65,20 @@
 
     @rule(kind=st.sampled_from([CHECK, PLACE]), left=st.integers(50, 3000))
     def order(self, kind: int, left: int) -> None:
-        self.desk.number += 1
-        errand = ev.Errand("GET", "/stock-check", f"id-{self.desk.number}", (), b"")
-        self.open_orders.add(self.desk.number)
-        self.desk.step(ev.OrderTaken(self.desk.number, errand, kind, 0, self.desk.number,
+        self.rig.number += 1
+        errand = ev.Errand("GET", "/stock-check", f"id-{self.rig.number}", (), b"")
+        self.open_orders.add(self.rig.number)
+        self.rig.step(ev.OrderTaken(self.rig.number, errand, kind, 0, self.rig.number,
                                      timedelta(milliseconds=left), 1.0, 2, 0, False,
-                                     self.desk.number))  # fmt: skip
+                                     self.rig.number))  # fmt: skip
         for n in range(self.read, 10**9):  # the counter's calls and their answers' own
-            if n == len(self.desk.out):
+            if n == len(self.rig.out):
                 break
-            effect = self.desk.out[n]
+            effect = self.rig.out[n]
             if isinstance(effect, fx.OpenLine) and effect.party is fx.Party.QUOTA_COUNTER:
-                self.desk.step(ev.LineUp(effect.line))
+                self.rig.step(ev.LineUp(effect.line))
             elif isinstance(effect, fx.CallCounter):
-                self.desk.step(ev.CounterAnswered(effect.line, End.OK, 1.0, True))
+                self.rig.step(ev.CounterAnswered(effect.line, End.OK, 1.0, True))
         self.follow()
 
     @rule(number=st.integers(1, 2), health=st.sampled_from([*Health]), again=st.booleans())
@@ -86,20 +86,20 @@
         """A stock node drains, goes, is back; perhaps as another process."""
         self.listed[number] = health
         self.started[number] += again
-        watch = self.desk.list_question().line
-        if watch not in self.desk.reducer.books.lines:
-            self.desk.pass_time(timedelta(milliseconds=100))
-            self.desk.bring_up_list()
-            watch = self.desk.list_question().line
+        watch = self.rig.list_question().line
+        if watch not in self.rig.reducer.books.lines:
+            self.rig.pass_time(timedelta(milliseconds=100))
+            self.rig.bring_up_list()
+            watch = self.rig.list_question().line
         entry = node(number, health, self.started[number])
-        self.desk.step(ev.NodeListAnswered(watch, True, self.desk.next_version(), ListKind.CHANGES, (entry,)))
+        self.rig.step(ev.NodeListAnswered(watch, True, self.rig.next_version(), ListKind.CHANGES, (entry,)))
         self.follow()
 
     @precondition(lambda self: self.has(Stage.OPENING))
     @rule(pick=st.integers(0, 9))
     def comes_up(self, pick: int) -> None:
         line = self.some(Stage.OPENING, pick)
-        self.desk.step(ev.LineUp(line))
+        self.rig.step(ev.LineUp(line))
         self.follow()
         assert self.model.get(line) is not Stage.OPENING
 
@@ -107,8 +107,8 @@
     @rule(pick=st.integers(0, 9), end=st.sampled_from([End.OK, End.ERROR, End.FULL]), keep=st.booleans())
     def answers(self, pick: int, end: End, keep: bool) -> None:
         line = self.some(Stage.BUSY, pick)
-        self.model[line], self.rested[line] = Stage.IDLE, self.desk.now
-        self.desk.step(ev.NodeAnswered(line, end, keep, b""))
+        self.model[line], self.rested[line] = Stage.IDLE, self.rig.now
+        self.rig.step(ev.NodeAnswered(line, end, keep, b""))
         self.follow()
         assert keep or line not in self.model
 
@@ -120,7 +120,7 @@
         if self.has(stage):
             line = self.some(stage, pick)
             del self.model[line]
-            self.desk.step(ev.LineEnded(line, reached))
+            self.rig.step(ev.LineEnded(line, reached))
             self.follow()
 
     @precondition(lambda self: bool(self.open_orders))
@@ -128,17 +128,17 @@
     def client_leaves(self, pick: int) -> None:
         order = sorted(self.open_orders)[pick % len(self.open_orders)]
         self.open_orders.remove(order)
-        self.desk.step(ev.ClientLeft(order))
+        self.rig.step(ev.ClientLeft(order))
         self.follow()
 
     @rule(span=st.sampled_from([1, 20, 90, 300, 1500, 10_000]))
     def time_passes(self, span: int) -> None:
-        self.desk.pass_time(timedelta(milliseconds=span))
+        self.rig.pass_time(timedelta(milliseconds=span))
         self.follow()
 
     @invariant()
     def the_books_agree_with_the_model(self) -> None:
-        books = self.desk.reducer.books
+        books = self.rig.reducer.books
         lines = {n: line for n, line in books.lines.items() if line.party is fx.Party.STOCK_NODE}
         assert {n: line.stage for n, line in lines.items()} == self.model
         assert books.node_lines == len(self.model) <= 4
@@ -151,9 +151,9 @@
 
     def teardown(self) -> None:
         """Whatever happened, every order has its answer once its time is up."""
-        self.desk.pass_time(timedelta(seconds=4))
+        self.rig.pass_time(timedelta(seconds=4))
         self.follow()
-        assert not self.open_orders and not self.desk.reducer.books.attempts
+        assert not self.open_orders and not self.rig.reducer.books.attempts
 
 
 Lines.TestCase.settings = settings(
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -12,15 +12,15 @@
 
 from opalgauge.memory import effects as fx
 from opalgauge.memory import events as ev
-from tests import town
-from tests.desk import CHECK, PLACE, Desk
+from tests import harness
+from tests.reducer_rig import CHECK, PLACE, ReducerRig
 
 MB = 1024 * 1024
 Talk = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
 @contextlib.asynccontextmanager
-async def town_of(talk: Talk) -> AsyncIterator[town.Ingress]:
+async def harness_of(talk: Talk) -> AsyncIterator[harness.Ingress]:
     """An ingress before one stock node that speaks as `talk` says, a connection at a time."""
 
     async def node(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -32,9 +32,9 @@
     host, port = server.sockets[0].getsockname()
     try:
         async with (
-            town.party(town.counter()) as (quota_at, _),
-            town.party(town.silent) as (list_at, __),
-            town.ingress(f"{host}:{port}", quota_at, list_at) as ingress,
+            harness.party(harness.counter()) as (quota_at, _),
+            harness.party(harness.silent) as (list_at, __),
+            harness.ingress(f"{host}:{port}", quota_at, list_at) as ingress,
         ):
             yield ingress
     finally:
@@ -46,7 +46,7 @@
 
     async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
-            await town.read_request(reader)
+            await harness.read_request(reader)
             for part in parts:
                 writer.write(part)
                 await writer.drain()
@@ -57,22 +57,22 @@
     return talk
 
 
-def memory(ingress: town.Ingress) -> int:
+def memory(ingress: harness.Ingress) -> int:
     """Bytes that the program has needed at most."""
     lines = Path(f"/proc/{ingress.process.pid}/status").read_text().splitlines()
     return int(next(line for line in lines if line.startswith("VmHWM")).split()[1]) * 1024
 
 
-async def ask(ingress: town.Ingress, data: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+async def ask(ingress: harness.Ingress, data: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     reader, writer = await asyncio.open_connection(*ingress.address)
     writer.write(data)
     return reader, writer
 
 
-CHECKS = town.request("GET", "/stock-check")
+CHECKS = harness.request("GET", "/stock-check")
 HEAD = b"HTTP/1.1 200 OK\r\n"
 FORMS = {
-    "one byte at a time": (says(*(bytes([b]) for b in town.OK)), b"done"),
+    "one byte at a time": (says(*(bytes([b]) for b in harness.OK)), b"done"),
     "in chunks with extensions and a trailer": (
         says(HEAD + b"Transfer-Encoding: chunked\r\n\r\n2;a=b\r\ndo\r\n2\r\nne\r\n0\r\nX-T: 1\r\n\r\n"),
         b"done",
@@ -80,7 +80,7 @@
     "up to its end": (says(HEAD + b"\r\ndo", b"ne", end=True), b"done"),
     "of the older protocol": (says(b"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\ndone", end=True), b"done"),
     "nothing": (says(HEAD + b"Content-Length: 0\r\n\r\n"), b""),
-    "a 1xx ahead": (says(b"HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\n" + town.OK), b"done"),
+    "a 1xx ahead": (says(b"HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\n" + harness.OK), b"done"),
     "long, up to its end": (says(HEAD + b"\r\n", b"x" * 200_000, end=True), b"x" * 200_000),
     "long, in small chunks": (
         says(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 150_000 + b"0\r\n\r\n"),
@@ -93,7 +93,7 @@
 def test_every_form_of_an_answer_reaches_its_client_whole(form: str) -> None:
     async def scene() -> None:
         talk, body = FORMS[form]
-        async with town_of(talk) as ingress:
+        async with harness_of(talk) as ingress:
             for _ in range(2):
                 reader, writer = await ask(ingress, CHECKS.replace(b"HTTP/1.1\r\n", b"HTTP/1.0\r\n"))
                 head, _, got = (await asyncio.wait_for(reader.read(), 30)).partition(b"\r\n\r\n")
@@ -108,23 +108,24 @@
         block = bytes(range(256)) * 4096  # 1 MB
 
         async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            while request := await town.read_request(reader):
+            while request := await harness.read_request(reader):
                 if b"long" not in request.split(b" ")[1]:
-                    writer.write(town.OK)
+                    writer.write(harness.OK)
                     continue
                 writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % (32 * MB))
                 for _ in range(32):
                     writer.write(block)
                     await writer.drain()
 
-        async with town_of(talk) as ingress:
+        async with harness_of(talk) as ingress:
             before = memory(ingress)
             long = []
             for n in range(6):
-                long.append(await ask(ingress, town.request("GET", f"/stock-check/long/{n}", name=f"l{n}")))
+                asked = harness.request("GET", f"/stock-check/long/{n}", name=f"l{n}")
+                long.append(await ask(ingress, asked))
                 await long[-1][0].readuntil(b"\r\n\r\n")  # it flows, and is not read on
             for n in range(20):
-                answer = await ingress.raw(town.request("GET", "/stock-check", name=f"s{n}"))
+                answer = await ingress.raw(harness.request("GET", "/stock-check", name=f"s{n}"))
                 assert answer.endswith(b"done")
             told = await ingress.call(b"stats\n")
             assert b"in_progress=6\n" in told and b"passed.stock-check=20\n" in told
@@ -151,21 +152,21 @@
                 await reader.readline()
             else:
                 got.extend(await reader.readexactly(int(head.split(b"content-length:")[1].split(b"\r")[0])))
-            writer.write(town.OK)
+            writer.write(harness.OK)
             await reader.read()
 
-        async with town_of(talk) as ingress:
+        async with harness_of(talk) as ingress:
             before, block = memory(ingress), bytes(range(256)) * 4096
             framing = "Transfer-Encoding: chunked" if chunked else f"Content-Length: {32 * MB}"
             more = f"{framing}\r\nExpect: 100-continue\r\n"
-            reader, writer = await ask(ingress, town.request("POST", "/place-order", more=more))
+            reader, writer = await ask(ingress, harness.request("POST", "/place-order", more=more))
             assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100 ")
             for _ in range(32):
                 writer.write(b"%x;e=1\r\n%s\r\n" % (len(block), block) if chunked else block)
                 await writer.drain()
             if chunked:
                 writer.write(b"0\r\nX-Trailer: 1\r\n\r\n")
-            assert (await town.read_request(reader)).endswith(b"done")
+            assert (await harness.read_request(reader)).endswith(b"done")
             assert bytes(got) == block * 32
             assert memory(ingress) - before < 16 * MB
             told = await ingress.call(b"stats\n")
@@ -179,7 +180,7 @@
     async def scene() -> None:
         for head in (HEAD + b"Content-Length: 999999\r\n\r\n", HEAD + b"Transfer-Encoding: chunked\r\n\r\n"):
             part = b"x" * 100_000 if b"Length" in head else b"186a0\r\n" + b"x" * 100_000 + b"\r\n"
-            async with town_of(says(head, part, end=True)) as ingress:
+            async with harness_of(says(head, part, end=True)) as ingress:
                 reader, writer = await ask(ingress, CHECKS)
                 got = b""
                 with contextlib.suppress(ConnectionError):
@@ -200,13 +201,13 @@
             writer.write(b"HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")
             await reader.read()
 
-        async with town_of(talk) as ingress:
+        async with harness_of(talk) as ingress:
             more = f"Content-Length: {4 * MB}\r\n"
-            reader, writer = await ask(ingress, town.request("POST", "/place-order", more=more))
+            reader, writer = await ask(ingress, harness.request("POST", "/place-order", more=more))
             writer.write(b"x" * MB)
             head = await reader.readuntil(b"\r\n\r\n")
             assert head.startswith(b"HTTP/1.1 429 ") and b"Retry-After" in head
-            writer.write(b"x" * 3 * MB + town.request("GET", "/stock-check", name="next"))
+            writer.write(b"x" * 3 * MB + harness.request("GET", "/stock-check", name="next"))
             await writer.drain()
             assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 429 ")
             writer.close()
@@ -217,97 +218,97 @@
 class TestReducer:
     """What the reducer hears of long and slow bodies: beginnings, stalls and ends."""
 
-    def coming(self, desk: Desk) -> int:
-        desk.number += 1
-        errand = ev.Errand("POST", "/place-order", f"id-{desk.number}", (), b"x", True, 100)
+    def coming(self, rig: ReducerRig) -> int:
+        rig.number += 1
+        errand = ev.Errand("POST", "/place-order", f"id-{rig.number}", (), b"x", True, 100)
         left = timedelta(seconds=2)
-        desk.step(ev.ClientCame(desk.number))
-        desk.step(ev.BodyComing(desk.number))
-        desk.step(ev.OrderTaken(desk.number, errand, PLACE, 0, 9, left, 1, 2, 0, False, desk.number))
-        desk.bring_up()
-        desk.count(total=1.0)
-        desk.read_last_window()
-        desk.bring_up()
-        return desk.number
+        rig.step(ev.ClientCame(rig.number))
+        rig.step(ev.BodyComing(rig.number))
+        rig.step(ev.OrderTaken(rig.number, errand, PLACE, 0, 9, left, 1, 2, 0, False, rig.number))
+        rig.bring_up()
+        rig.count(total=1.0)
+        rig.read_last_window()
+        rig.bring_up()
+        return rig.number
 
     def test_a_slow_body_is_timed_from_its_last_byte(self) -> None:
-        desk = Desk()
-        order = self.coming(desk)
-        desk.pass_time(timedelta(seconds=30))
-        assert not desk.answers and desk.attempt().time_left == timedelta(seconds=2)
-        assert desk.reducer.figures().in_progress == 0 and desk.reducer.figures().tries == 0
-        desk.step(ev.BodyEnded(order))
-        desk.step(ev.AttemptWritten(desk.attempt().line))
-        assert desk.reducer.figures().in_progress == 1 and desk.reducer.figures().tries == 1
-        desk.pass_time(timedelta(milliseconds=1900))
-        assert not desk.answers
-        desk.pass_time(timedelta(milliseconds=100))
-        assert desk.answers[-1].status == 504
+        rig = ReducerRig()
+        order = self.coming(rig)
+        rig.pass_time(timedelta(seconds=30))
+        assert not rig.answers and rig.attempt().time_left == timedelta(seconds=2)
+        assert rig.reducer.figures().in_progress == 0 and rig.reducer.figures().tries == 0
+        rig.step(ev.BodyEnded(order))
+        rig.step(ev.AttemptWritten(rig.attempt().line))
+        assert rig.reducer.figures().in_progress == 1 and rig.reducer.figures().tries == 1
+        rig.pass_time(timedelta(milliseconds=1900))
+        assert not rig.answers
+        rig.pass_time(timedelta(milliseconds=100))
+        assert rig.answers[-1].status == 504
 
     def test_half_a_body_is_never_sent_again(self) -> None:
-        desk = Desk()
-        self.coming(desk)
-        desk.step(ev.LineEnded(desk.attempt().line, ev.Reached.WRITING))
-        assert len([e for e in desk.out if isinstance(e, fx.SendAttempt)]) == 1
-        assert desk.answers[-1].status == 429 and desk.answers[-1].retry_after  # nothing has run
+        rig = ReducerRig()
+        self.coming(rig)
+        rig.step(ev.LineEnded(rig.attempt().line, ev.Reached.WRITING))
+        assert len([e for e in rig.out if isinstance(e, fx.SendAttempt)]) == 1
+        assert rig.answers[-1].status == 429 and rig.answers[-1].retry_after  # nothing has run
 
     def test_a_body_that_stops_frees_its_node(self) -> None:
-        desk = Desk()
-        order = self.coming(desk)
-        line = desk.attempt().line
-        desk.step(ev.BodyStalled(order))
-        assert desk.answers[-1].status == 408 and desk.answers[-1].last
-        assert fx.CloseLine(line) in desk.out
+        rig = ReducerRig()
+        order = self.coming(rig)
+        line = rig.attempt().line
+        rig.step(ev.BodyStalled(order))
+        assert rig.answers[-1].status == 408 and rig.answers[-1].last
+        assert fx.CloseLine(line) in rig.out
 
     def test_a_slow_head_has_its_time_and_no_more(self) -> None:
-        desk = Desk()
-        desk.step(ev.ClientCame(1))
-        desk.pass_time(timedelta(milliseconds=1900))
-        desk.step(ev.RequestBegun(1))
-        desk.pass_time(timedelta(milliseconds=2200))
-        assert fx.CloseClient(1) not in desk.out
-        desk.pass_time(timedelta(milliseconds=600))
-        assert fx.CloseClient(1) in desk.out
+        rig = ReducerRig()
+        rig.step(ev.ClientCame(1))
+        rig.pass_time(timedelta(milliseconds=1900))
+        rig.step(ev.RequestBegun(1))
+        rig.pass_time(timedelta(milliseconds=2200))
+        assert fx.CloseClient(1) not in rig.out
+        rig.pass_time(timedelta(milliseconds=600))
+        assert fx.CloseClient(1) in rig.out
 
     def test_a_client_that_leaves_a_long_answer_frees_its_node_and_a_drain_waits_for_one(self) -> None:
-        desk = Desk()
-        desk.step(ev.ClientCame(1))
-        desk.admit(CHECK)
-        line = desk.attempt().line
-        desk.step(ev.AnswerFlows(line, "", None, {}))
-        assert desk.answers[-1].flow == line and desk.reducer.figures().in_progress == 1
-        desk.step(ev.DrainAsked())
-        desk.step(ev.GraceOver())
-        assert fx.Leave() not in desk.out
-        desk.step(ev.ClientLeft(1))
-        assert fx.CloseLine(line) in desk.out and fx.Leave() in desk.out
+        rig = ReducerRig()
+        rig.step(ev.ClientCame(1))
+        rig.admit(CHECK)
+        line = rig.attempt().line
+        rig.step(ev.AnswerFlows(line, "", None, {}))
+        assert rig.answers[-1].flow == line and rig.reducer.figures().in_progress == 1
+        rig.step(ev.DrainAsked())
+        rig.step(ev.GraceOver())
+        assert fx.Leave() not in rig.out
+        rig.step(ev.ClientLeft(1))
+        assert fx.CloseLine(line) in rig.out and fx.Leave() in rig.out
 
     def test_a_connection_is_free_for_others_once_a_long_answer_has_come(self) -> None:
-        desk = Desk(nodes=1)
-        order = desk.admit(CHECK)
-        line = desk.attempt().line
-        desk.step(ev.AnswerFlows(line, "", 99_999, {}))
-        desk.step(ev.AnswerWhole(line, True))
-        desk.settle()
-        desk.admit(CHECK)
-        assert desk.attempt().line == line
-        desk.step(ev.FlowOver(order, True))
-        assert fx.CloseLine(line) not in desk.out and sum(desk.reducer.figures().passed) == 1
+        rig = ReducerRig(nodes=1)
+        order = rig.admit(CHECK)
+        line = rig.attempt().line
+        rig.step(ev.AnswerFlows(line, "", 99_999, {}))
+        rig.step(ev.AnswerWhole(line, True))
+        rig.settle()
+        rig.admit(CHECK)
+        assert rig.attempt().line == line
+        rig.step(ev.FlowOver(order, True))
+        assert fx.CloseLine(line) not in rig.out and sum(rig.reducer.figures().passed) == 1
 
     def test_one_long_body_more_than_memory_holds_is_turned_away_and_the_others_go_on(self) -> None:
-        desk = Desk(most_streams=2)
-        first = self.coming(desk)
-        desk.admit(CHECK)
-        line = desk.attempt().line
-        desk.step(ev.AnswerFlows(line, "", None, {}))
+        rig = ReducerRig(most_streams=2)
+        first = self.coming(rig)
+        rig.admit(CHECK)
+        line = rig.attempt().line
+        rig.step(ev.AnswerFlows(line, "", None, {}))
         errand = ev.Errand("POST", "/place-order", "one-more", (), b"x", True, 100)
         left = timedelta(seconds=2)
-        desk.step(ev.OrderTaken(99, errand, PLACE, 0, 9, left, 1, 2, 0, False, 99))
-        assert desk.answers[-1].status == 429 and desk.answers[-1].retry_after
-        desk.admit(CHECK)
-        desk.step(ev.AnswerFlows(desk.attempt().line, "", None, {}))
-        assert len(desk.reducer.books.flows) == 1
-        desk.step(ev.BodyEnded(first))
-        desk.admit(CHECK)
-        desk.step(ev.AnswerFlows(desk.attempt().line, "", None, {}))
-        assert len(desk.reducer.books.flows) == 2 and fx.CloseLine(line) not in desk.out
+        rig.step(ev.OrderTaken(99, errand, PLACE, 0, 9, left, 1, 2, 0, False, 99))
+        assert rig.answers[-1].status == 429 and rig.answers[-1].retry_after
+        rig.admit(CHECK)
+        rig.step(ev.AnswerFlows(rig.attempt().line, "", None, {}))
+        assert len(rig.reducer.books.flows) == 1
+        rig.step(ev.BodyEnded(first))
+        rig.admit(CHECK)
+        rig.step(ev.AnswerFlows(rig.attempt().line, "", None, {}))
+        assert len(rig.reducer.books.flows) == 2 and fx.CloseLine(line) not in rig.out
--- a/tests/test_native.py
+++ b/tests/test_native.py
@@ -12,7 +12,7 @@
 
 from opalgauge import nativebuild
 from opalgauge.lifecycle import native
-from tests import town
+from tests import harness
 
 SOURCE = '''
 class Total:
@@ -41,7 +41,7 @@
 def loaded(tree: Path, **environ: str) -> str:
     """The file that a program in that tree gets the module from, and what the module does."""
     code = (
-        f"import sys; sys.path.insert(0, {str(town.ROOT)!r}); sys.path.insert(0, {str(tree)!r})\n"
+        f"import sys; sys.path.insert(0, {str(harness.ROOT)!r}); sys.path.insert(0, {str(tree)!r})\n"
         "from pathlib import Path; from opalgauge.lifecycle import native\n"
         f"native.ROOT = Path({str(tree)!r}); native.COMPILED = {{'trade': ('total',)}}\n"
         "native.prefer()\n"
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -6,7 +6,7 @@
 
 from starlinggap import interface as i
 from starlinggap.brain import estimate, fits
-from tests.rig import Rig, settings
+from tests.gateway_rig import GatewayRig, settings
 
 
 def test_papers_example_is_admitted_and_its_double_refused() -> None:
@@ -18,7 +18,7 @@
 @pytest.mark.parametrize(("cost", "sent"), [(1.0, True), (2.0, False)])
 def test_papers_example_through_the_gateway(cost: float, sent: bool) -> None:
     # 3 units of 3 used just before the window turns; a tenth of the next window has passed.
-    rig = Rig(settings(plans=(i.Plan(rate=1.0, burst=3.0),)))
+    rig = GatewayRig(settings(plans=(i.Plan(rate=1.0, burst=3.0),)))
     rig.at(2.99)
     for _ in range(3):
         assert rig.ask(units=1.0) == "sent"
@@ -27,7 +27,7 @@
 
 
 def test_a_refusal_takes_its_units_back_and_advises() -> None:
-    rig = Rig(settings())
+    rig = GatewayRig(settings())
     assert rig.ask(units=4.0) == "sent"
     assert rig.ask(units=4.0) == "sent"
     assert rig.ask(units=4.0) == "refused"
@@ -36,7 +36,7 @@
 
 
 def test_true_units_are_settled_on_the_count() -> None:
-    rig = Rig(settings(settles=True))
+    rig = GatewayRig(settings(settles=True))
     assert rig.ask(units=2.0) == "sent"
     rig.finish(true_units=4.0)
     rig.at(rig.now + 2.0)
@@ -46,7 +46,7 @@
 
 def test_full_burst_after_light_use_is_admitted() -> None:
     # Light use in the last window, then the full burst: the told store has filled again and holds it all.
-    rig = Rig(settings())
+    rig = GatewayRig(settings())
     for at in (0.1, 5.0, 7.9):
         rig.at(at)
         assert rig.ask(units=1.0) == "sent"
@@ -57,7 +57,7 @@
 
 
 def test_silent_counter_is_decided_locally_within_its_timeout() -> None:
-    rig = Rig(settings(), answering=False)
+    rig = GatewayRig(settings(), answering=False)
     assert rig.ask(units=1.0) == "waiting"
     rig.at(0.03)
     assert rig.last() == "sent"
@@ -66,7 +66,7 @@
 
 
 def test_impatient_try_is_answered_while_the_counter_is_silent() -> None:
-    rig = Rig(settings(), answering=False)
+    rig = GatewayRig(settings(), answering=False)
     assert rig.ask(units=1.0, budget=0.004) in ("sent", "refused")
     rig.ask(units=1.0, budget=0.03)
     rig.at(rig.now + 0.02)
@@ -74,7 +74,7 @@
 
 
 def test_emptied_counter_does_not_open_the_quota() -> None:
-    rig = Rig(settings())
+    rig = GatewayRig(settings())
     assert [rig.ask(units=4.0) for _ in range(2)] == ["sent", "sent"]
     rig.totals.clear()
     assert rig.ask(units=4.0) == "refused"
@@ -82,7 +82,7 @@
 
 @pytest.mark.parametrize("total", [float("nan"), float("inf"), -1e9])
 def test_garbage_totals_are_no_totals(total: float) -> None:
-    rig = Rig(settings(), answering=False)
+    rig = GatewayRig(settings(), answering=False)
     rig.ask(units=1.0)
     rig.answer_all(total)
     assert rig.last() == "sent"
@@ -90,7 +90,7 @@
 
 
 def test_late_answer_is_refunded_when_the_request_was_refused() -> None:
-    rig = Rig(settings(), answering=False)
+    rig = GatewayRig(settings(), answering=False)
     rig.ask(units=100.0)
     rig.at(0.035)
     assert rig.last() == "refused"
@@ -106,7 +106,7 @@
 def test_a_total_that_was_lost_is_read_again_and_judged_as_the_calls_own(
     end: i.End, before: float, state: str
 ) -> None:
-    rig = Rig(settings(), answering=False)
+    rig = GatewayRig(settings(), answering=False)
     rig.ask(units=2.0)
     call = rig.counts.pop()
     rig.totals[call.name] = before + call.amount
@@ -120,7 +120,7 @@
 
 
 def test_a_total_that_is_lost_twice_is_decided_without() -> None:
-    rig = Rig(settings(), answering=False)
+    rig = GatewayRig(settings(), answering=False)
     rig.ask(units=2.0)
     for _ in range(2):
         rig.give(i.Counted(rig.counts.pop().name, 0.001, i.End.ERROR))
@@ -131,7 +131,7 @@
 
 
 def test_a_customer_met_late_has_the_part_of_the_ceiling_that_has_come_back_since_the_start() -> None:
-    rig = Rig(settings(plans=(CEILED,), counter=False))
+    rig = GatewayRig(settings(plans=(CEILED,), counter=False))
     rig.gateway.ask = 0.0  # nobody is let in by totals meanwhile
     assert [rig.ask(units=1.0, customer=1) for _ in range(2)] == ["sent", "refused"]
     rig.finish()
@@ -142,12 +142,12 @@
 def test_what_totals_let_in_needs_no_part_of_the_ceiling() -> None:
     # Each of four gateways has a quarter of 16 units, and of the slack only where it has just started: inside
     # a quota of 8 units a second order of 2 was refused there, whatever the total said.
-    rig = Rig(settings(plans=(CEILED,), gateways=4))
+    rig = GatewayRig(settings(plans=(CEILED,), gateways=4))
     assert [rig.ask(units=2.0, spread=4) for _ in range(5)] == ["sent"] * 4 + ["refused"]
 
 
 def test_after_the_counter_forgot_totals_let_in_only_what_the_part_of_the_ceiling_bears() -> None:
-    rig = Rig(settings(plans=(CEILED,), gateways=4))
+    rig = GatewayRig(settings(plans=(CEILED,), gateways=4))
     assert [rig.ask(units=2.0, spread=4) for _ in range(3)] == ["sent"] * 3
     rig.totals.clear()
     assert [rig.ask(units=2.0, spread=4, customer=n) for n in (7, 8, 9)] == ["refused"] * 3
@@ -155,7 +155,7 @@
 
 def test_customers_that_come_once_are_not_remembered() -> None:
     # Guards the memory: a day has many that never come again.
-    rig = Rig(settings())
+    rig = GatewayRig(settings())
     for n in range(200):
         rig.at(n * 0.2)
         rig.ask(customer=1000 + n)
@@ -167,7 +167,7 @@
 
 def test_what_was_let_in_without_a_call_is_taken_back_without_one() -> None:
     # Guards a pressed counter: each refusal in overload cost it a call, and it never came back.
-    rig = Rig(settings(), answering=False, servers=1)
+    rig = GatewayRig(settings(), answering=False, servers=1)
     for customer in range(40):
         rig.gateway.ask = 0.0
         rig.ask(customer=customer % 4)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -24,7 +24,7 @@
 from opalgauge.replica.store import GRACE, MOST_BANS, Kind, Store
 from starlinggap import interface as i
 from starlinggap.snapshot import eject, ejections
-from tests.rig import Rig, settings
+from tests.gateway_rig import GatewayRig, settings
 
 T0 = datetime(2026, 12, 1, tzinfo=UTC)
 SECOND = timedelta(seconds=1)
@@ -327,7 +327,7 @@
 
 # --- what the decisions hear -------------------------------------------------------------------------------
 def test_an_ejection_of_others_is_taken_over_for_that_start_of_the_node_and_ends() -> None:
-    rig = Rig(settings(), servers=3)
+    rig = GatewayRig(settings(), servers=3)
     gateway = rig.gateway
     eject(gateway, 1, 0.0, 0, 100.0, 5.0)  # no longer than the decisions eject themselves
     assert ejections(gateway, 5.0) == [(1, 0.0, 0, 13.0)] and ejections(gateway, 13.0) == []
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -14,7 +14,7 @@
 
 from starlinggap import Gateway, snapshot
 from starlinggap import interface as i
-from tests.rig import entry, settings
+from tests.gateway_rig import entry, settings
 
 CLASSES = (
     i.RequestClass(aim=0.4, deadline=1.0),
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -17,7 +17,7 @@
 from starlinggap import Gateway
 from starlinggap import interface as i
 from starlinggap.brain import Customer
-from tests.rig import Rig, entry, settings
+from tests.gateway_rig import GatewayRig, entry, settings
 
 TWO = (i.RequestClass(aim=0.8, deadline=2.0), i.RequestClass(aim=1.5, deadline=4.0, worth=3.0))
 
@@ -26,7 +26,7 @@
     return settings(counter=False, plans=(i.Plan(),), **changes)
 
 
-def serve(rig: Rig, took: float = 0.1) -> int:
+def serve(rig: GatewayRig, took: float = 0.1) -> int:
     """One request sent and answered; the server that took it."""
     assert rig.ask(customer=rig.next + 100) == "sent"
     rig.finish(took=took)
@@ -73,7 +73,7 @@
 
 def test_a_server_that_fails_one_class_is_spared_it_alone() -> None:
     # A quick failure must not draw more of the class; the other class goes on there.
-    rig = Rig(free(classes=TWO))
+    rig = GatewayRig(free(classes=TWO))
     first, second = Counter[int](), Counter[int]()
     for n in range(300):
         rig.at(rig.now + 0.02)
@@ -90,7 +90,7 @@
 
 
 def test_all_failing_alike_ejects_nobody_for_good() -> None:
-    rig = Rig(free())
+    rig = GatewayRig(free())
     for n in range(40):
         rig.at(rig.now + 0.05)
         rig.ask(customer=n)
@@ -104,7 +104,7 @@
 
 
 def test_a_slow_server_gets_less() -> None:
-    rig = Rig(free())
+    rig = GatewayRig(free())
     for _ in range(60):
         rig.at(rig.now + 0.05)
         rig.ask(customer=rig.next)
@@ -114,7 +114,7 @@
 
 
 def test_no_more_is_out_at_a_server_than_part_of_the_aim_does() -> None:
-    rig = Rig(free(), servers=1)
+    rig = GatewayRig(free(), servers=1)
     for _ in range(5):
         rig.at(rig.now + 0.3)
         serve(rig)
@@ -123,7 +123,8 @@
 
 
 def test_overload_sheds_the_low_worth_first() -> None:
-    rig = Rig(free(classes=(i.RequestClass(aim=2.0, deadline=4.0), i.RequestClass(2.0, 4.0, worth=9.0))))
+    classes = (i.RequestClass(aim=2.0, deadline=4.0), i.RequestClass(2.0, 4.0, worth=9.0))
+    rig = GatewayRig(free(classes=classes))
     for _ in range(20):
         rig.at(rig.now + 0.1)
         serve(rig, took=1.1)
@@ -135,7 +136,7 @@
 
 
 def test_no_server_holds_a_request_for_half_its_aim_then_refuses() -> None:
-    rig = Rig(free(), servers=0)
+    rig = GatewayRig(free(), servers=0)
     assert rig.ask() == "waiting"
     rig.at(0.3)
     assert rig.last() == "waiting"
@@ -188,7 +189,7 @@
 
 def work_done(servers: int, idle: int, monkeypatch: pytest.MonkeyPatch) -> int:
     """Servers looked at and customers brought up to date for 200 requests and their housekeeping."""
-    rig = Rig(settings(plans=(i.Plan(rate=50.0, burst=100.0),)), servers=servers)
+    rig = GatewayRig(settings(plans=(i.Plan(rate=50.0, burst=100.0),)), servers=servers)
     for n in range(idle):
         rig.ask(customer=10_000 + n)
         if rig.last() == "sent":
@@ -222,7 +223,7 @@
 
 
 def test_pressed_counter_is_not_asked_again_for_who_was_refused_just_now() -> None:
-    rig = Rig(settings())
+    rig = GatewayRig(settings())
     assert [rig.ask(units=4.0) for _ in range(2)] == ["sent", "sent"]
     rig.gateway.call_failed()  # one failure: pressed
     before = rig.calls
@@ -231,7 +232,7 @@
 
 
 def test_a_crowded_counter_is_asked_for_a_smaller_share_and_again_when_it_answers() -> None:
-    rig = Rig(settings(), answering=False)
+    rig = GatewayRig(settings(), answering=False)
     for n in range(40):
         rig.ask(customer=n, step=0.04)
         rig.answer_all(0.0)  # an answer, but late
@@ -254,7 +255,7 @@
 
 
 def test_what_is_let_in_without_a_crowded_counter_is_added_by_the_next_call() -> None:
-    rig = Rig(settings(plans=(i.Plan(rate=200.0, burst=2000.0),)))
+    rig = GatewayRig(settings(plans=(i.Plan(rate=200.0, burst=2000.0),)))
     for _ in range(400):
         rig.gateway.ask, rig.gateway.ask_at = 0.5, rig.now
         rig.at(rig.now + 0.001)
@@ -265,7 +266,7 @@
 
 def test_a_share_below_one_request_is_granted_by_chance_and_the_refusal_holds() -> None:
     # No counter answer, 200 gateways: one customer's tries are neither all let in nor tried till let in.
-    rig = Rig(settings(gateways=200), answering=False)
+    rig = GatewayRig(settings(gateways=200), answering=False)
     gate = rig.gateway
     gate.ask, gate.quick, gate.let_in = 0.0, False, [0.5, 0.5]
     verdicts = [rig.ask(customer=n, spread=200, units=2.0) for n in range(60)]
@@ -275,7 +276,7 @@
 
 
 def test_customers_seen_once_leave() -> None:
-    rig = Rig(free())
+    rig = GatewayRig(free())
     for n in range(3000):
         rig.ask(customer=n)
         rig.finish()
@@ -325,7 +326,7 @@
 
 def test_what_ends_late_is_shed_more_and_more_and_less_again() -> None:
     # Clients give up early and repeat: half of what is sent ends late, though each takes less than the aim.
-    rig = Rig(free())
+    rig = GatewayRig(free())
     for n in range(400):
         rig.at(rig.now + 0.05)
         if rig.ask(customer=n, budget=0.3) == "sent":
@@ -339,9 +340,9 @@
     assert rig.gateway.shed == 0.0
 
 
-def pressed_and_overloaded() -> Rig:
+def pressed_and_overloaded() -> GatewayRig:
     """A gateway whose counter has just failed once, and which sheds nearly all."""
-    rig = Rig(settings())
+    rig = GatewayRig(settings())
     rig.gateway.call_failed()
     rig.gateway.shed = 0.95
     rig.gateway.late = rig.gateway.answered = 50.0
@@ -359,7 +360,7 @@
 @pytest.mark.parametrize(("servers", "spared"), [(60, True), (4, False)])
 def test_an_error_is_believed_at_once_where_a_server_is_met_rarely(servers: int, spared: bool) -> None:
     # One of forty gateways meets each of 60 servers once in seconds: three errors in a row never came about.
-    rig = Rig(settings(counter=False, plans=(i.Plan(),)), servers=servers)
+    rig = GatewayRig(settings(counter=False, plans=(i.Plan(),)), servers=servers)
     for n in range(200):
         rig.at(n * 0.2)
         rig.ask(customer=n)
@@ -374,7 +375,7 @@
 
 def test_a_kept_connection_is_preferred_to_opening_one() -> None:
     # Forty gateways with little traffic opened one for every second order; each costs a server work.
-    rig = Rig(settings(counter=False, plans=(i.Plan(),)), servers=2)
+    rig = GatewayRig(settings(counter=False, plans=(i.Plan(),)), servers=2)
     rig.gateway.servers[2].kept_at = rig.now
     for n in range(5):
         rig.ask(customer=n)
@@ -385,7 +386,7 @@
 def test_who_sheds_all_finds_out_that_the_load_is_over() -> None:
     # With nothing sent on nothing new is learnt: late answers of a burst kept one of forty gateways shedding
     # nearly all for ten seconds after the servers were idle.
-    rig = Rig(settings(counter=False, plans=(i.Plan(),)))
+    rig = GatewayRig(settings(counter=False, plans=(i.Plan(),)))
     gateway = rig.gateway
     gateway.shed, gateway.answered, gateway.took, gateway.late, gateway.missed = 0.95, 16.0, 14.0, 8.0, 6.0
     gateway.pace, gateway.unanswered, gateway.ended_at = 0.9, 0.3, rig.now
@@ -398,7 +399,7 @@
 
 def test_a_pressed_counter_is_asked_first_for_what_is_worth_most() -> None:
     plans = (i.Plan(rate=100.0, burst=1000.0, price=0.5), i.Plan(rate=100.0, burst=1000.0, price=1.6))
-    rig = Rig(settings(plans=plans))
+    rig = GatewayRig(settings(plans=plans))
     asked = [0, 0]
     for n in range(600):
         rig.gateway.ask, rig.gateway.quick, before = 0.4, False, rig.calls
@@ -410,7 +411,7 @@
 
 def test_a_gateway_with_little_traffic_asks_a_calm_counter_again_within_seconds() -> None:
     # One of forty has a few answers a second: growing by answers alone, what asks took ten seconds to return.
-    rig = Rig(settings())
+    rig = GatewayRig(settings())
     rig.gateway.call_failed()
     rig.gateway.ask = 0.05
     for n in range(16):
@@ -438,7 +439,7 @@
 
 def test_a_calm_counter_that_is_far_away_is_asked_by_all() -> None:
     # It stands in another hall: each answer takes over QUICK of the time-out, and none is missed.
-    rig = Rig(settings(), answering=False)
+    rig = GatewayRig(settings(), answering=False)
     rig.gateway.call_failed()
     for n in range(200):
         rig.at(rig.now + 0.03)
@@ -455,7 +456,7 @@
 def test_connections_that_die_while_kept_are_not_used(trouble: str) -> None:
     # From 20 s on what is sent on an idle kept connection is lost; or one in three everywhere; or one in
     # twenty is answered after its aim.
-    rig, rng = Rig(free(max_attempts=1), servers=40), random.Random(5)
+    rig, rng = GatewayRig(free(max_attempts=1), servers=40), random.Random(5)
     kept: dict[int, float] = {}  # since when idle
     ends = {(kind, late): [0, 0] for kind in ("kept", "new", "busy") for late in (False, True)}
     for n in range(600):
@@ -484,7 +485,7 @@
 @pytest.mark.parametrize(("answers", "sheds"), [("quick", False), ("slow", True), ("none", True)])
 def test_lost_attempts_are_load_only_where_answers_are_slow_or_missing(answers: str, sheds: bool) -> None:
     # One in three attempts is never answered; the others in a tenth of the aim, in half of it, or not either.
-    rig = Rig(free(max_attempts=1), servers=40)
+    rig = GatewayRig(free(max_attempts=1), servers=40)
     for n in range(600):
         rig.at(rig.now + 0.05)
         if rig.ask(customer=n) == "sent":
@@ -496,7 +497,7 @@
 
 
 def test_what_is_shed_is_told_when_to_come_back_and_not_all_at_once() -> None:
-    rig = Rig(settings(counter=False))
+    rig = GatewayRig(settings(counter=False))
     rig.gateway.shed = 0.95
     rig.gateway.late = rig.gateway.answered = 50.0
     while len(rig.refusals) < 50:
@@ -518,7 +519,8 @@
 def test_what_is_given_up_gets_its_final_answer_at_once(path: str) -> None:
     counts = path in ("quota", "counter silent")
     s = settings(max_attempts=2) if counts else free(max_attempts=2)
-    rig = Rig(replace(s, classes=UNSAFE) if path == "may have run" else s, servers=path != "no server listed")
+    s = replace(s, classes=UNSAFE) if path == "may have run" else s
+    rig = GatewayRig(s, servers=path != "no server listed")
     rig.answering = path != "counter silent"
     final = "failed" if path == "may have run" else "refused"
     if counts:
@@ -552,7 +554,7 @@
 
 def test_what_sound_servers_have_no_room_for_is_not_sent_to_one_that_fails() -> None:
     # Guards against a server that is quick to fail: ejected, it still got nine attempts of ten in overload.
-    rig = Rig(settings(plans=(i.Plan(rate=1000.0, burst=1000.0),)), servers=2)
+    rig = GatewayRig(settings(plans=(i.Plan(rate=1000.0, burst=1000.0),)), servers=2)
     rig.at(5.0)
     rig.gateway.servers[2].ill = {0: [1.0, 1e9, 8.0]}
     while rig.ask(customer=rig.next) == "sent":
@@ -566,7 +568,7 @@
 
 @pytest.mark.parametrize("price", [0.02, 0.0])
 def test_a_priced_crossing_of_halls_is_made_only_where_the_own_hall_has_no_room(price: float) -> None:
-    rig = Rig(free(zone=1, cross_zone_price=price), servers=0)
+    rig = GatewayRig(free(zone=1, cross_zone_price=price), servers=0)
     rig.give(i.ServerList(i.ListKind.WHOLE, tuple(entry(n, zone=n % 3) for n in range(1, 10))))
     for _ in range(90):  # light: one at a time
         rig.at(rig.now + 0.05)
@@ -581,7 +583,7 @@
 
 
 def test_a_calm_counter_is_not_asked_for_who_repeats_before_the_store_has_room() -> None:
-    rig = Rig(settings())
+    rig = GatewayRig(settings())
     assert [rig.ask(units=4.0) for _ in range(2)] == ["sent", "sent"]
     assert rig.ask(units=4.0) == "refused"  # by the counter's total: added and taken back
     before = rig.calls
@@ -593,7 +595,7 @@
 
 
 def test_who_was_refused_lately_is_let_in_as_its_store_has_room_though_the_counter_is_pressed() -> None:
-    rig = Rig(settings())
+    rig = GatewayRig(settings())
     for _ in range(2):
         assert rig.ask(units=4.0) == "sent"
         rig.finish()
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -22,7 +22,7 @@
 from opalgauge.lifecycle.directives import DIRECTIVES
 from opalgauge.lifecycle.sources import FileSource
 from starlinggap import interface as i
-from tests import town
+from tests import harness
 
 GOOD = """
 listen 127.0.0.1:5000
@@ -160,16 +160,16 @@
 
 
 def test_the_examples_under_deploy_can_be_used() -> None:
-    make_config(FileSource(str(town.ROOT / "deploy" / "opalgauge.conf")).read().told, {})
-    halls = make_config(FileSource(str(town.ROOT / "deploy" / "three-halls.conf")).read().told, {})
+    make_config(FileSource(str(harness.ROOT / "deploy" / "opalgauge.conf")).read().told, {})
+    halls = make_config(FileSource(str(harness.ROOT / "deploy" / "three-halls.conf")).read().told, {})
     assert halls.zones == ("hall-a", "hall-b", "hall-c") and halls.house.settings.cross_zone_price > 0
-    assert s.parse(town.ROOT / "deploy" / "on-platform.conf").get("workers") == 2
+    assert s.parse(harness.ROOT / "deploy" / "on-platform.conf").get("workers") == 2
     with pytest.raises(ConfigError):
-        FileSource(str(town.ROOT / "deploy" / "none.conf")).read()
+        FileSource(str(harness.ROOT / "deploy" / "none.conf")).read()
 
 
 def test_every_directive_stands_in_the_operators_page_with_whether_a_reload_changes_it() -> None:
-    page = (town.ROOT / "docs" / "operators" / "settings.md").read_text()
+    page = (harness.ROOT / "docs" / "operators" / "settings.md").read_text()
     rows = {r.split("`")[1]: r.split(" | ") for r in page.splitlines() if r.startswith(("| `", "| +`"))}
     assert {n: rows[n][3] for n in rows} == {n: "yes" if d.live else "no" for n, d in DIRECTIVES.items()}
     assert {n for n in rows if rows[n][0].startswith("| +")} == {n for n, d in DIRECTIVES.items() if d.trade}
@@ -182,7 +182,7 @@
             path.write_text(text)
             return subprocess.run(
                 [sys.executable, "-m", "opalgauge.cli.main", "check", str(path)],
-                cwd=town.ROOT, capture_output=True, text=True, timeout=120, check=False,
+                cwd=harness.ROOT, capture_output=True, text=True, timeout=120, check=False,
             )  # fmt: skip
 
     bad = check("worker 4\nname\n")
@@ -194,17 +194,17 @@
 def test_the_file_alone_serves_and_a_bad_one_never_ends_a_running_daemon() -> None:
     async def scene() -> None:
         async with (
-            town.party(lambda r, w: town.OK) as (node, _),
-            town.party(lambda r, w: town.OK) as (other, seen),
+            harness.party(lambda r, w: harness.OK) as (node, _),
+            harness.party(lambda r, w: harness.OK) as (other, seen),
         ):
             with tempfile.TemporaryDirectory() as folder:
                 path = Path(folder) / "a.conf"
-                port = town.free_port()
+                port = harness.free_port()
                 text = GOOD.replace("5000", str(port)).replace("127.0.0.1:7001", node)
                 path.write_text(text + "most-units 3\nlog json\ningresses 2\ncounter 127.0.0.1:1\n")
                 process = await asyncio.create_subprocess_exec(
                     sys.executable, "-m", "opalgauge.cli.main", "serve", "--settings", str(path),
-                    cwd=town.ROOT,
+                    cwd=harness.ROOT,
                     env={k: v for k, v in os.environ.items() if not k.startswith("BALANCER_")},
                     stderr=asyncio.subprocess.PIPE,
                 )  # fmt: skip
@@ -212,7 +212,7 @@
                     assert process.stderr is not None
                     line = json.loads(await asyncio.wait_for(process.stderr.readline(), 60))
                     assert line["subject"] == "ready" and line["ingress"] == "opalgauge"
-                    ingress = town.Ingress(("127.0.0.1", port), process, {}, path)
+                    ingress = harness.Ingress(("127.0.0.1", port), process, {}, path)
                     assert (await ingress.ask("POST", "/place-order")).startswith(b"HTTP/1.1 200")
                     path.write_text("worker 4")
                     process.send_signal(signal.SIGHUP)
@@ -241,7 +241,8 @@
 def test_serving_for_the_platform_loads_nothing_that_it_does_not_need() -> None:
     code = "import sys, opalgauge.__main__; print(*sorted(sys.modules))"
     loaded = subprocess.run(
-        [sys.executable, "-c", code], cwd=town.ROOT, capture_output=True, text=True, check=True, timeout=120
+        [sys.executable, "-c", code],
+        cwd=harness.ROOT, capture_output=True, text=True, check=True, timeout=120,
     ).stdout.split()
     heavy = ("click", "structlog", "hdrh", "opalgauge.cli", "opalgauge.cores", "opalgauge.lifecycle.settings")
     assert not [m for m in loaded if m.startswith(heavy)]
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -16,21 +16,21 @@
 from opalgauge.wire.clients import Clients, Trade
 from opalgauge.wire.exchange import Exchange
 from opalgauge.wire.node_list import NodeListReader
-from tests import town
-from tests.desk import START, house
+from tests import harness
+from tests.reducer_rig import START, house
 
 SETTLING = house().settling.total_seconds()
 
 
 @contextlib.asynccontextmanager
-async def town_with(
-    node: town.Script, quota: town.Script | None = None
-) -> AsyncIterator[tuple[town.Ingress, town.Seen, town.Seen]]:
+async def harness_with(
+    node: harness.Script, quota: harness.Script | None = None
+) -> AsyncIterator[tuple[harness.Ingress, harness.Seen, harness.Seen]]:
     async with (
-        town.party(node) as (node_at, nodes),
-        town.party(quota or town.counter()) as (quota_at, quotas),
-        town.party(town.silent) as (list_at, _),
-        town.ingress(node_at, quota_at, list_at) as ingress,
+        harness.party(node) as (node_at, nodes),
+        harness.party(quota or harness.counter()) as (quota_at, quotas),
+        harness.party(harness.silent) as (list_at, _),
+        harness.ingress(node_at, quota_at, list_at) as ingress,
     ):
         yield ingress, nodes, quotas
 
@@ -41,7 +41,7 @@
 
 def test_a_request_passes_unchanged_and_its_answer_comes_back() -> None:
     async def scene() -> None:
-        async with town_with(lambda r, w: town.OK) as (ingress, nodes, quotas):
+        async with harness_with(lambda r, w: harness.OK) as (ingress, nodes, quotas):
             target = "/place-order/a%2Fb/%7e?x=%20&&y=a+b"
             body = bytes(range(256)) * 8
             answer = await ingress.ask("POST", target, body, "Content-Encoding: gzip\r\n")
@@ -67,12 +67,12 @@
         nonlocal served
         served += 1
         if served == 1:
-            return town.OK
+            return harness.OK
         writer.close()
         return None
 
     async def scene() -> None:
-        async with town_with(node) as (ingress, nodes, _):
+        async with harness_with(node) as (ingress, nodes, _):
             assert status(await ingress.ask("POST", "/place-order")) == 200
             await asyncio.sleep(2 * SETTLING)  # at least: until the connection may be used again
             assert status(await ingress.ask("POST", "/place-order")) == 502
@@ -84,8 +84,8 @@
 
 def test_an_attempt_given_up_ends_its_connection_and_the_client_has_its_answer() -> None:
     async def scene() -> None:
-        async with town_with(town.silent) as (ingress, nodes, _):
-            answer = await ingress.raw(town.request("POST", "/place-order", left="0.4"))
+        async with harness_with(harness.silent) as (ingress, nodes, _):
+            answer = await ingress.raw(harness.request("POST", "/place-order", left="0.4"))
             assert status(answer) == 504
             await asyncio.wait_for(nodes.ended.wait(), 30)
             assert len(nodes.requests) == 1
@@ -93,10 +93,10 @@
     asyncio.run(scene())
 
 
-@pytest.mark.parametrize("quota", [town.silent, lambda r, w: w.close()], ids=["silent", "breaking"])
-def test_without_a_quota_counter_orders_are_still_answered(quota: town.Script) -> None:
+@pytest.mark.parametrize("quota", [harness.silent, lambda r, w: w.close()], ids=["silent", "breaking"])
+def test_without_a_quota_counter_orders_are_still_answered(quota: harness.Script) -> None:
     async def scene() -> None:
-        async with town_with(lambda r, w: town.OK, quota) as (ingress, _, quotas):
+        async with harness_with(lambda r, w: harness.OK, quota) as (ingress, _, quotas):
             for _ in range(3):
                 assert status(await ingress.ask("POST", "/place-order")) == 200
             assert quotas.requests
@@ -109,7 +109,7 @@
     away = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 
     async def scene() -> None:
-        async with town_with(lambda r, w: town.OK, lambda r, w: away) as (ingress, _, _quotas):
+        async with harness_with(lambda r, w: harness.OK, lambda r, w: away) as (ingress, _, _quotas):
             assert status(await ingress.raw(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")) == 200
             assert status(await ingress.ask("GET", "/stock-check")) == 200
 
@@ -120,9 +120,9 @@
     # Guards against ending on SIGHUP, and against going on with addresses that are left.
     async def scene() -> None:
         async with (
-            town_with(lambda r, w: town.OK) as (ingress, _, quotas),
-            town.party(town.counter()) as (quota_at, new_quotas),
-            town.party(town.silent) as (list_at, new_lists),
+            harness_with(lambda r, w: harness.OK) as (ingress, _, quotas),
+            harness.party(harness.counter()) as (quota_at, new_quotas),
+            harness.party(harness.silent) as (list_at, new_lists),
         ):
             assert status(await ingress.ask("POST", "/place-order")) == 200
             await ingress.reconfigure(counter=quota_at, discovery=list_at)
@@ -144,13 +144,13 @@
 SILENT = {
     "nothing": b"",
     "half a head": b"GET /stock-check HTTP/1.1\r\nX-",
-    "half a body": town.request("POST", "/place-order", b"abc")[:-1],
+    "half a body": harness.request("POST", "/place-order", b"abc")[:-1],
 }
 
 
 def test_clients_that_ask_nothing_whole_are_closed() -> None:
     async def scene() -> None:
-        async with town_with(lambda r, w: town.OK) as (ingress, nodes, _):
+        async with harness_with(lambda r, w: harness.OK) as (ingress, nodes, _):
             ends = []
             for data in SILENT.values():
                 reader, writer = await asyncio.open_connection(*ingress.address)
@@ -178,7 +178,7 @@
         while not clients.connections:
             await asyncio.sleep(0)
         ((number, connection),) = clients.connections.items()
-        connection.data_received(town.request("GET", "/stock-check"))
+        connection.data_received(harness.request("GET", "/stock-check"))
         end = clients.stop_listening if leaving else lambda: clients.dismiss(number)
         end()
         while not isinstance(seen[-1], ev.OrderTaken):
@@ -187,7 +187,7 @@
         closing = asyncio.ensure_future(clients.close() if leaving else asyncio.sleep(0))
         await asyncio.sleep(0.15)
         clients.answer(fx.AnswerClient(seen[-1].order, 200, b"done"))
-        assert (await town.read_request(reader)).endswith(b"done")
+        assert (await harness.read_request(reader)).endswith(b"done")
         await closing
         await asyncio.sleep(0.01)
         clients.dismiss(number)
@@ -199,35 +199,37 @@
 
 
 BAD = {
-    "an unknown kind": (town.request("GET", "/nothing"), 404),
-    "another method": (town.request("GET", "/place-order"), 400),
-    "time that is none": (town.request("GET", "/stock-check", left="soon"), 400),
-    "time that is over": (town.request("GET", "/stock-check", left="-1"), 400),
-    "time without end": (town.request("GET", "/stock-check", left="inf"), 400),
+    "an unknown kind": (harness.request("GET", "/nothing"), 404),
+    "another method": (harness.request("GET", "/place-order"), 400),
+    "time that is none": (harness.request("GET", "/stock-check", left="soon"), 400),
+    "time that is over": (harness.request("GET", "/stock-check", left="-1"), 400),
+    "time without end": (harness.request("GET", "/stock-check", left="inf"), 400),
     "no headers": (b"GET /stock-check HTTP/1.1\r\nHost: x\r\n\r\n", 400),
-    "an unknown tariff": (town.request("GET", "/stock-check").replace(b"negoce", b"gratis"), 400),
-    "an account that is none": (town.request("GET", "/stock-check").replace(b"b4d6", b"zzzz"), 400),
-    "units that are none": (town.request("GET", "/stock-check").replace(b"units=2", b"units=nan"), 400),
-    "spread that is none": (town.request("GET", "/stock-check").replace(b"spread=2", b"spread=inf"), 400),
-    "too many units": (town.request("GET", "/stock-check").replace(b"units=2", b"units=4"), 400),
-    "no units": (town.request("GET", "/stock-check").replace(b"units=2", b"units=0"), 400),
-    "units in other digits": (town.request("GET", "/stock-check").replace(b"units=2", b"units=1_0"), 400),
-    "a set too wide": (town.request("GET", "/stock-check").replace(b"spread=2", b"spread=3"), 400),
-    "a set from nowhere": (town.request("GET", "/stock-check").replace(b"first=0", b"first=2"), 400),
-    "no terms": (town.request("GET", "/stock-check").replace(b"X-Call-Terms", b"X-Other"), 400),
-    "no id": (town.request("GET", "/stock-check", name=""), 400),
-    "a body where there is none": (town.request("GET", "/stock-check", b"abc"), 400),
-    "a length and chunks": (town.request("POST", "/place-order", b"abc", CHUNKS), 400),
-    "a negative length": (town.request("POST", "/place-order", more="Content-Length: -1\r\n"), 400),
+    "an unknown tariff": (harness.request("GET", "/stock-check").replace(b"negoce", b"gratis"), 400),
+    "an account that is none": (harness.request("GET", "/stock-check").replace(b"b4d6", b"zzzz"), 400),
+    "units that are none": (harness.request("GET", "/stock-check").replace(b"units=2", b"units=nan"), 400),
+    "spread that is none": (harness.request("GET", "/stock-check").replace(b"spread=2", b"spread=inf"), 400),
+    "too many units": (harness.request("GET", "/stock-check").replace(b"units=2", b"units=4"), 400),
+    "no units": (harness.request("GET", "/stock-check").replace(b"units=2", b"units=0"), 400),
+    "units in other digits": (harness.request("GET", "/stock-check").replace(b"units=2", b"units=1_0"), 400),
+    "a set too wide": (harness.request("GET", "/stock-check").replace(b"spread=2", b"spread=3"), 400),
+    "a set from nowhere": (harness.request("GET", "/stock-check").replace(b"first=0", b"first=2"), 400),
+    "no terms": (harness.request("GET", "/stock-check").replace(b"X-Call-Terms", b"X-Other"), 400),
+    "no id": (harness.request("GET", "/stock-check", name=""), 400),
+    "a body where there is none": (harness.request("GET", "/stock-check", b"abc"), 400),
+    "a length and chunks": (harness.request("POST", "/place-order", b"abc", CHUNKS), 400),
+    "a negative length": (harness.request("POST", "/place-order", more="Content-Length: -1\r\n"), 400),
     "no HTTP": (b"\x16\x03\x01 what is this\r\n\r\n", 400),
-    "far too much to send": (town.request("POST", "/place-order", more="Content-Length: 60000000\r\n"), 413),
-    "two lengths": (town.request("POST", "/place-order", b"abc", "Content-Length: 9\r\n"), 400),
+    "far too much to send": (
+        harness.request("POST", "/place-order", more="Content-Length: 60000000\r\n"), 413,
+    ),
+    "two lengths": (harness.request("POST", "/place-order", b"abc", "Content-Length: 9\r\n"), 400),
 }
 
 
 def test_bad_input_is_answered_and_kills_nothing() -> None:
     async def scene() -> None:
-        async with town_with(lambda r, w: town.OK) as (ingress, nodes, _):
+        async with harness_with(lambda r, w: harness.OK) as (ingress, nodes, _):
             for name, (data, expected) in BAD.items():
                 assert status(await ingress.raw(data)) == expected, name
             assert not nodes.requests
@@ -242,11 +244,11 @@
 
     async def node(_: bytes, __: asyncio.StreamWriter) -> bytes:
         await release.wait()
-        return town.OK
+        return harness.OK
 
     async def scene() -> None:
-        async with town_with(node) as (ingress, nodes, _):
-            first = asyncio.create_task(ingress.raw(town.request("POST", "/place-order", left="3.0")))
+        async with harness_with(node) as (ingress, nodes, _):
+            first = asyncio.create_task(ingress.raw(harness.request("POST", "/place-order", left="3.0")))
             while not nodes.requests:
                 await asyncio.sleep(0.01)
             assert status(await ingress.ask("GET", "/stock-check")) == 400
@@ -264,10 +266,10 @@
     def node(_: bytes, __: asyncio.StreamWriter) -> bytes:
         nonlocal served
         served += 1
-        return b"\x00nonsense\r\n\r\n" if served == 20 else town.OK
+        return b"\x00nonsense\r\n\r\n" if served == 20 else harness.OK
 
     async def scene() -> None:
-        async with town_with(node) as (ingress, _, _quotas):
+        async with harness_with(node) as (ingress, _, _quotas):
             answers = [status(await ingress.ask("POST", "/place-order")) for _ in range(22)]
             assert answers == [200] * 19 + [502] + [200] * 2
 
@@ -276,9 +278,9 @@
 
 def test_a_client_that_leaves_has_its_attempt_called_off() -> None:
     async def scene() -> None:
-        async with town_with(town.silent) as (ingress, nodes, _):
+        async with harness_with(harness.silent) as (ingress, nodes, _):
             _, writer = await asyncio.open_connection(*ingress.address)
-            writer.write(town.request("POST", "/place-order", left="600"))
+            writer.write(harness.request("POST", "/place-order", left="600"))
             while not nodes.requests:
                 await asyncio.sleep(0.01)
             assert not nodes.ended.is_set()
@@ -313,11 +315,11 @@
     async def node(data: bytes, _: asyncio.StreamWriter) -> bytes:
         if b"/slow" in data:
             await release.wait()
-        return town.OK
+        return harness.OK
 
     async def scene() -> None:
-        async with town_with(node) as (ingress, nodes, _):
-            slow = asyncio.create_task(ingress.raw(town.request("POST", "/place-order/slow", name="slow")))
+        async with harness_with(node) as (ingress, nodes, _):
+            slow = asyncio.create_task(ingress.raw(harness.request("POST", "/place-order/slow", name="slow")))
             while not nodes.requests:
                 await asyncio.sleep(0.01)
             idle_reader, idle_writer = await asyncio.open_connection(*ingress.address)
@@ -338,8 +340,8 @@
 def test_signals_that_cross_end_the_ingress_once_and_its_client_has_its_answer() -> None:
     # The stock node hangs, so that the order has nothing left but its time; SIGTERM comes twice, and SIGHUP.
     async def scene() -> None:
-        async with town_with(town.silent) as (ingress, nodes, _):
-            held = asyncio.create_task(ingress.raw(town.request("POST", "/place-order", left="1.0")))
+        async with harness_with(harness.silent) as (ingress, nodes, _):
+            held = asyncio.create_task(ingress.raw(harness.request("POST", "/place-order", left="1.0")))
             while not nodes.requests:
                 await asyncio.sleep(0.01)
             for sign in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
@@ -358,14 +360,14 @@
 def test_a_start_needs_neither_the_node_list_nor_the_counter() -> None:
     # Guards a whole deployment that starts at once while discovery is down.
     async def scene() -> None:
-        async with town.party(lambda r, w: town.OK) as (node, _):
-            nobody = f"127.0.0.1:{town.free_port()}"
-            async with town.starting(node, nobody, nobody) as ingress:
+        async with harness.party(lambda r, w: harness.OK) as (node, _):
+            nobody = f"127.0.0.1:{harness.free_port()}"
+            async with harness.starting(node, nobody, nobody) as ingress:
                 assert ingress.process.stderr is not None
                 while b"ready" not in await asyncio.wait_for(ingress.process.stderr.readline(), 60):
                     assert ingress.process.returncode is None
                 assert status(await ingress.raw(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")) == 200
-                answer = await ingress.raw(town.request("POST", "/place-order", left="2.0"))
+                answer = await ingress.raw(harness.request("POST", "/place-order", left="2.0"))
                 assert status(answer) == 200
 
     asyncio.run(scene())
--- a/tests/test_three_halls.py
+++ b/tests/test_three_halls.py
@@ -19,7 +19,7 @@
 from opalgauge.lifecycle.settings import as_told, parse
 from starlinggap import Gateway
 from starlinggap import interface as i
-from tests.rig import Rig, entry
+from tests.gateway_rig import GatewayRig, entry
 
 FILE = Path(__file__).parent.parent / "deploy" / "three-halls.conf"
 HALLS = make_config(as_told(parse(FILE)), {}).house.settings
@@ -139,7 +139,7 @@
 @pytest.mark.parametrize(("after", "again"), [(0.5, True), (2.9, True), (3.1, False)])
 def test_a_keyed_order_is_repeated_in_its_hall_and_within_its_window_only(after: float, again: bool) -> None:
     for seed in range(30):
-        rig = Rig(replace(HALLS, counter=False, plans=(i.Plan(),)), servers=0, seed=seed)
+        rig = GatewayRig(replace(HALLS, counter=False, plans=(i.Plan(),)), servers=0, seed=seed)
         rig.give(i.ServerList(i.ListKind.WHOLE, NODES))
         assert rig.ask(budget=4.0, cls=ORDER) == "sent"
         rig.at(rig.now + after)
--- a/tests/test_wire_words.py
+++ b/tests/test_wire_words.py
@@ -24,7 +24,7 @@
 from opalgauge.wire.line import Reply
 from opalgauge.wire.node_list import NodeListReader, node_number, question_bytes
 from starlinggap import interface as i
-from tests.town import ROOT, SETTINGS
+from tests.harness import ROOT, SETTINGS
 
 HOST = {"host": "s-5be2a07c", "dial": "127.0.0.9:5000", "site": "bat-b", "block": 3,
         "health": "terminating", "share": 1.5, "born_ms": 1500}  # fmt: skip
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -18,7 +18,7 @@
 from opalgauge.zones.messages import Message, State, Told
 from opalgauge.zones.watch import Action, Judged, Note, Rules, Say, Watch
 from starlinggap import interface as i
-from tests.rig import Rig, entry, settings
+from tests.gateway_rig import GatewayRig, entry, settings
 
 T0 = datetime(2026, 12, 1, tzinfo=UTC)
 MS = timedelta(milliseconds=1)
@@ -316,13 +316,14 @@
 TWO = (i.RequestClass(aim=0.8, deadline=2.0), i.RequestClass(aim=0.8, deadline=2.0, effect=i.Effect.UNSAFE))
 
 
-def halls(**changes: object) -> Rig:
-    rig = Rig(settings(counter=False, plans=(i.Plan(),), classes=TWO, cancel=True, **changes), servers=0)
+def halls(**changes: object) -> GatewayRig:
+    told = settings(counter=False, plans=(i.Plan(),), classes=TWO, cancel=True, **changes)
+    rig = GatewayRig(told, servers=0)
     rig.give(i.ServerList(i.ListKind.WHOLE, tuple(entry(n, zone=n % 3) for n in range(1, 10))))
     return rig
 
 
-def met(rig: Rig, asks: int, cls: int = 0) -> list[int]:
+def met(rig: GatewayRig, asks: int, cls: int = 0) -> list[int]:
     before = len(rig.sends)
     for _ in range(asks):
         rig.at(rig.now + 0.05)
