Read the peers' messages, a branch and a zone's nodes in one place each

On reading the change again: three `read` functions each unsealed and decoded a datagram; they call sealed.opened, with their own checks behind it as before. Gossip listed a branch's items in three places: Store.branch. Watch._doubt listed a zone's nodes as _trial does: Watch._listed.

--- a/opalgauge/memory/sealed.py
+++ b/opalgauge/memory/sealed.py
@@ -4,6 +4,11 @@
 
 import hashlib
 import hmac
+from typing import TypeVar
+
+import msgspec
+
+T = TypeVar("T")
 
 SEAL = 8  # bytes of BLAKE2b
 LONGEST = 256  # bytes: the platform voids a run for a longer datagram
@@ -24,3 +29,14 @@
     if len(data) > LONGEST or not whole.startswith(version):
         return None
     return whole[len(version) :] if hmac.compare_digest(told, _digest(whole, secret)) else None
+
+
+def opened(data: bytes, version: bytes, secret: bytes, form: type[T]) -> T | None:
+    """What a datagram says, in its form; None where it is torn, foreign or of another form."""
+    body = unseal(data, version, secret)
+    if body is None:
+        return None
+    try:
+        return msgspec.msgpack.decode(body, type=form)
+    except msgspec.MsgspecError:
+        return None
--- a/opalgauge/replica/gossip.py
+++ b/opalgauge/replica/gossip.py
@@ -140,7 +140,7 @@
         for n in differing[:DIFFERING]:
             # What the branch holds, where that is little, need not wait for hashes to go to and fro: where
             # half of the messages are lost each more of them that has to arrive doubles the time.
-            batches = list(islice(packed(i for k in range(LEAVES) for i in self.store.at(n, k)), 2))
+            batches = list(islice(packed(self.store.branch(n)), 2))
             if len(batches) == 1:
                 self._queue(peer, Message(self.store.me, self.store.life, 0, items=batches[0]))
             leaves = n, tuple(self.store.leaf_hashes[n]), False
@@ -158,8 +158,8 @@
         """For one that knows nothing. What it misses of it shows by hashes."""
         if any(n == peer and w.items for n, w in self.queue):
             return  # it is being told
-        everything = (i for b in range(BRANCHES) for n in range(LEAVES) for i in self.store.at(b, n))
-        bans = (i for b in range(BAN_BRANCHES) for n in range(LEAVES) for i in self.store.at(b, n))
+        everything = (i for b in range(BRANCHES) for i in self.store.branch(b))
+        bans = (i for b in range(BAN_BRANCHES) for i in self.store.branch(b))
         me, life = self.store.me, self.store.life
         # The first of the others tells all of it, the rest the bans: a message may be lost.
         first = min(k for k in (me, *self.peers) if k != peer)
--- a/opalgauge/replica/messages.py
+++ b/opalgauge/replica/messages.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from opalgauge.memory.sealed import LONGEST, SEAL, seal, unseal
+from opalgauge.memory.sealed import LONGEST, SEAL, opened, seal
 from opalgauge.memory.sealed import VERSION as VERSION_LENGTH
 from opalgauge.replica.crdt import Item
 from opalgauge.replica.store import BRANCHES, HASH, LEAVES, TYPES, Key
@@ -62,11 +62,10 @@
 
 def read(data: bytes, secret: bytes = b"") -> Message | None:
     """Another copy's message; None where it is torn, foreign or says what cannot be. Never raises."""
-    body = unseal(data, VERSION, secret)
-    if body is None:
+    wire = opened(data, VERSION, secret, _Wire)
+    if wire is None:
         return None
     try:
-        wire = msgspec.msgpack.decode(body, type=_Wire)
         if wire.sender < 0 or not (0 <= wire.life < 2**53 and 0 <= wire.number < 2**53):
             return None
         items = tuple(
--- a/opalgauge/replica/store.py
+++ b/opalgauge/replica/store.py
@@ -182,6 +182,10 @@
         for key in sorted(self.tree[branch][leaf]):
             yield key, self.items[key]
 
+    def branch(self, number: int) -> Iterator[tuple[Key, Item]]:
+        for leaf in range(LEAVES):
+            yield from self.at(number, leaf)
+
     def bans_equal(self, hashes: list[bytes]) -> bool:
         return hashes[:BAN_BRANCHES] == self.branch_hashes[:BAN_BRANCHES]
 
--- a/opalgauge/shares/messages.py
+++ b/opalgauge/shares/messages.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from opalgauge.memory.sealed import seal, unseal
+from opalgauge.memory.sealed import opened, seal
 
 VERSION = b"\x5a\x11"
 MOST_NEEDS, MOST_GRANTS = 5, 4  # of one message: the longest of each still fit
@@ -71,12 +71,8 @@
 
 def read(data: bytes, secret: bytes = b"") -> Message | None:
     """A peer's message; None where it is torn, foreign or says what cannot be. Never raises."""
-    body = unseal(data, VERSION, secret)
-    if body is None:
-        return None
-    try:
-        wire = msgspec.msgpack.decode(body, type=_Wire)
-    except msgspec.MsgspecError:
+    wire = opened(data, VERSION, secret, _Wire)
+    if wire is None:
         return None
     sound = (
         wire.sender >= 0 and 0 <= wire.life < 2**53 and 0 <= wire.number < 2**53
--- a/opalgauge/zones/messages.py
+++ b/opalgauge/zones/messages.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from opalgauge.memory.sealed import seal, unseal
+from opalgauge.memory.sealed import opened, seal
 from opalgauge.zones.health import Opinion
 
 VERSION = b"\x5a\x01"
@@ -73,11 +73,10 @@
 
 def read(data: bytes, secret: bytes = b"") -> Message | None:
     """A peer's message; None where it is torn, foreign or says what cannot be. Never raises."""
-    body = unseal(data, VERSION, secret)
-    if body is None:
+    wire = opened(data, VERSION, secret, _Wire)
+    if wire is None:
         return None
     try:
-        wire = msgspec.msgpack.decode(body, type=_Wire)
         if not (0 <= wire.life < 2**53 and 0 <= wire.number < 2**53) or len(wire.zones) > MOST_ZONES:
             return None
         zones = tuple(
@@ -85,7 +84,7 @@
                  _within(bad, MOST_TRIALS))
             for o, s, age, good, bad in wire.zones
         )  # fmt: skip
-    except (msgspec.MsgspecError, ValueError):
+    except ValueError:
         return None
     return Message(wire.sender, wire.life, wire.number, zones)
 
--- a/opalgauge/zones/watch.py
+++ b/opalgauge/zones/watch.py
@@ -276,9 +276,12 @@
         if now < place.next_trial:
             return 0
         place.next_trial = now + self._turn(now) * (0.5 + self.chance.random())
-        there = sorted(e.server for e in self.nodes.values() if e.zone == n)
+        there = self._listed(n)
         return self.chance.choice(there) if there else 0
 
+    def _listed(self, n: int) -> list[int]:
+        return sorted(e.server for e in self.nodes.values() if e.zone == n)
+
     def _doubt(self, n: int, place: Place, now: datetime) -> int:
         """Another node of a zone that has just failed or fallen silent, for who hears nobody.
 
@@ -290,7 +293,7 @@
         if not doubtful or now < place.next_trial or not self.fleet.cut_off(now):
             return 0
         place.next_trial = now + ASKED
-        there = sorted(e.server for e in self.nodes.values() if e.zone == n)
+        there = self._listed(n)
         unasked = [server for server in there if server not in row]
         return self.chance.choice(unasked or there) if there else 0
 
