--- a/opalgauge/cores/guardian.py
+++ b/opalgauge/cores/guardian.py
@@ -16,7 +16,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from datetime import timedelta
+from datetime import datetime, timedelta
 from typing import Any
 
 import uvloop
@@ -32,12 +32,12 @@
 from opalgauge.lifecycle.logs import Log
 from opalgauge.lifecycle.reload import reread
 from opalgauge.lifecycle.sources import Reading, Source, told_again
+from opalgauge.memory.drain import ANSWER_MARGIN, EXIT_MARGIN, kill_after
 
 TICK = 0.025  # s between looks at the beats
 LOADS = 1.0  # s between weighings of the accounts
 ACCEPT = 64  # connections taken in a turn of the loop
 BACKLOG = 512
-DRAIN_SPARE = 2.0  # s beyond the longest deadline that a draining worker has
 DEALS, DEAL_PAUSE = 40, 0.01  # tries to deal a connection, and s between them
 KEPT = 1.0  # s that a client has to ask again on a connection whose worker ended just after its answer
 STASHED = 4096  # answers kept for connections that are about to be taken over
@@ -82,6 +82,8 @@
         self.reading, self.config, self.source, self.log = reading, config, source, log
         self.loop = asyncio.get_running_loop()
         self.clock = Clock()
+        self.kill_after = kill_after(config.house.settings.classes)  # from SIGTERM to SIGKILL, at least
+        self.answer_by: datetime | None = None  # draining: every request has its answer then
         self.watch = w.Watch(self._figures(reading))
         self.slots = max(16, config.house.most_clients // 2)
         self.free = list(range(self.slots - 1, -1, -1))
@@ -105,10 +107,9 @@
         }  # fmt: skip
 
     def _figures(self, reading: Reading) -> w.Figures:
-        longest = max(c.deadline for c in self.config.house.settings.classes)
         return w.Figures(
             reading.workers, reading.stall_after, reading.restart_pause, reading.restart_pause_most,
-            drain_limit=timedelta(seconds=longest + DRAIN_SPARE),
+            drain_limit=self.kill_after - EXIT_MARGIN,
         )  # fmt: skip
 
     def step(self, event: w.Event) -> None:
@@ -154,7 +155,9 @@
             self.loop.call_later(LOADS, self._weigh)
 
     def _drain(self) -> None:
-        self.draining = True
+        if not self.draining:
+            self.draining = True
+            self.answer_by = self.clock.now() + self.kill_after - ANSWER_MARGIN
         self.step(w.DrainAsked())
 
     def _reload(self) -> None:
@@ -399,8 +402,10 @@
             client.timer = self.loop.call_later(KEPT, self._asks_again, slot)
         elif now is Course.AWAIT:
             client.awaits = mark
-            wait = max(0.0, (mark.until - time.monotonic_ns()) / 1e9 - 0.01)
-            client.timer = self.loop.call_later(wait, self._settle, slot, 504)
+            wait = (mark.until - time.monotonic_ns()) / 1e9 - 0.01
+            if self.answer_by is not None:
+                wait = min(wait, (self.answer_by - self.clock.now()).total_seconds())
+            client.timer = self.loop.call_later(max(0.0, wait), self._settle, slot, 504)
             told = self.told.get((client.seat, client.life), {}).get(mark.owner)
             if answer := self.stash.pop((slot, mark.tag), None):
                 self._orphan_answer(answer)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -168,10 +168,16 @@
 
 @contextlib.asynccontextmanager
 async def ingress(
-    node: str, quota: str, nodes: str, listener: socket.socket | None = None, scratch: str = "", port: int = 0
+    node: str,
+    quota: str,
+    nodes: str,
+    listener: socket.socket | None = None,
+    scratch: str = "",
+    port: int = 0,
+    settings: dict[str, Any] = SETTINGS,
 ) -> AsyncIterator[Ingress]:
     """The program itself, ready to serve."""
-    async with starting(node, quota, nodes, listener, scratch, port) as one:
+    async with starting(node, quota, nodes, listener, scratch, port, settings) as one:
         assert one.process.stderr is not None
         while b"ready" not in (line := await asyncio.wait_for(one.process.stderr.readline(), 60)):
             assert b"maint" in line or b"handover" in line
@@ -180,7 +186,13 @@
 
 @contextlib.asynccontextmanager
 async def starting(
-    node: str, quota: str, nodes: str, listener: socket.socket | None = None, scratch: str = "", port: int = 0
+    node: str,
+    quota: str,
+    nodes: str,
+    listener: socket.socket | None = None,
+    scratch: str = "",
+    port: int = 0,
+    settings: dict[str, Any] = SETTINGS,
 ) -> AsyncIterator[Ingress]:
     """The program itself, as `run` starts it, between the given parties.
 
@@ -192,7 +204,7 @@
     config = {
         "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": nodes, "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "counter": quota,
-        "known": {"seq": 41, "whole": True, "hosts": [host]}, "settings": SETTINGS,
+        "known": {"seq": 41, "whole": True, "hosts": [host]}, "settings": settings,
         "console": f"127.0.0.1:{door}",
     }  # fmt: skip
     with tempfile.TemporaryDirectory() as folder:
--- a/tests/test_kill.py
+++ b/tests/test_kill.py
@@ -7,47 +7,114 @@
 from __future__ import annotations
 
 import asyncio
-import signal
-import socket
-import tempfile
+
+import pytest
 
 from tests import harness
+from tests.kill_scene import BIG, STREAMED, scene
 
-KILL_AFTER = 3.0 + 0.7  # s after SIGTERM: `place-order` waits for 3 s
 LATE = 0.9  # s after SIGTERM: a request that comes then may wait beyond the kill
+FAILED = (502, 504)  # what may have run is not called refused
 
 
 def test_a_request_read_after_the_start_of_an_upgrade_is_answered_before_the_kill() -> None:
-    async def scene() -> None:
-        def answers_checks_only(request: bytes, _: asyncio.StreamWriter) -> bytes | None:
-            return harness.OK if request.startswith(b"GET") else None
-
-        with socket.socket() as listener, tempfile.TemporaryDirectory() as scratch:
-            listener.bind(("127.0.0.1", 0))
-            listener.listen(64)
-            async with (
-                harness.party(answers_checks_only) as (node_at, node),
-                harness.party(harness.counter()) as (quota_at, _),
-                harness.party(harness.silent) as (list_at, _),
-                harness.ingress(node_at, quota_at, list_at, listener, scratch) as old,
-            ):
-                # While the old process is alone, so that it is the one that has the connection.
-                reader, writer = await asyncio.open_connection(*old.address)
-                writer.write(harness.request("GET", "/stock-check", name="first"))
-                assert (await harness.read_request(reader)).startswith(b"HTTP/1.1 200")
-                async with harness.ingress(node_at, quota_at, list_at, listener, scratch):
-                    loop = asyncio.get_running_loop()
-                    old.process.send_signal(signal.SIGTERM)
-                    told = loop.time()
-                    await asyncio.sleep(told + LATE - loop.time())
-                    writer.write(harness.request("POST", "/place-order", b"x", left="3.0", name="late"))
-                    answer = asyncio.create_task(harness.read_request(reader))
-                    await asyncio.wait([answer], timeout=told + KILL_AFTER - loop.time())
-                    if old.process.returncode is None:
-                        old.process.send_signal(signal.SIGKILL)
-                    assert [r for r in node.requests if b"late" in r], "it never reached the server"
-                    # What may have run is not called refused.
-                    assert (await answer).startswith((b"HTTP/1.1 502", b"HTTP/1.1 504"))
-                writer.close()
-
-    asyncio.run(asyncio.wait_for(scene(), 60))
+    async def play() -> None:
+        async with scene(3.0, successor=True) as (here, second):
+            # While the old process is alone, so that it is the one that has the connection.
+            await here.connect("late")
+            async with second:
+                stop = here.stop()
+                await stop.at(LATE)
+                here.place("late")
+                await stop.end()
+        late = here.clients["late"]
+        assert late.whole_at is not None and late.whole_at < stop.kill
+        assert late.status in FAILED
+
+    asyncio.run(asyncio.wait_for(play(), 60))
+
+
+@pytest.mark.parametrize("successor", [False, True], ids=["stop", "upgrade"])
+@pytest.mark.parametrize("deadline", [0.4, 3.0, 8.0])
+def test_the_kill_at_its_earliest_finds_a_request_in_every_state(deadline: float, successor: bool) -> None:
+    sent = ("early", "begun", "later")
+    others = ("streamed", "big", "half-head", "half-body", "long-body", "silent", "last")
+
+    async def play() -> None:
+        async with scene(deadline, successor) as (here, second):
+            await here.connect(*sent, *others)
+            async with second:
+                here.place("early")
+                here.place("begun")
+                here.place("streamed")
+                here.clients["half-head"].say(b"POST /place-order HTTP/1.1\r\nX-Corr")
+                here.place("half-body", "Content-Length: 100\r\n", b"")
+                here.place("long-body", "Content-Length: 900000\r\n", b"")
+                here.clients["long-body"].say(b"l" * 100_000)
+                here.place("big")
+                stop = here.stop()
+                await stop.at(0.35)
+                if not successor:
+                    new = await here.open("new")
+                    here.place("new")
+                    new.follow()
+                here.place("later")
+                await stop.at(stop.kill - stop.asked - 0.05)
+                here.place("last")
+                await stop.end()
+        clients = here.clients
+        for name in (*sent, *(["new"] if not successor else [])):
+            client = clients[name]
+            assert client.whole_at is not None and client.whole_at < stop.kill, name
+            assert client.status in FAILED, name
+        assert clients["big"].status == 200 and len(clients["big"].received) > BIG
+        for name in ("half-body", "long-body"):
+            client = clients[name]
+            assert client.whole_at is not None and client.whole_at < stop.kill, name
+            assert client.status in (*FAILED, 408), name
+        streamed = clients["streamed"]
+        assert streamed.status == 200 and len(streamed.received) < STREAMED, "it looks whole"
+        for name in ("half-head", "silent", "streamed"):
+            ended = clients[name].ended_at
+            assert ended is not None and ended < stop.kill, f"{name}: left to the kill"
+        # Its connection had ended before it was written, so that its client knows that it was not taken.
+        last = clients["last"].ended_at
+        assert last is not None and last < stop.kill - 0.05
+
+    asyncio.run(asyncio.wait_for(play(), 60))
+
+
+@pytest.mark.parametrize("successor", [False, True], ids=["stop", "upgrade"])
+def test_a_request_that_waits_for_a_silent_counter_is_answered_before_the_kill(successor: bool) -> None:
+    async def play() -> None:
+        async with scene(0.4, successor, harness.silent) as (here, second):
+            for name in ("early", "later"):
+                client = await here.open(name)
+                client.follow()
+            async with second:
+                here.place("early")
+                stop = here.stop()
+                await stop.at(0.5)
+                here.place("later")
+                await stop.end()
+        for name in ("early", "later"):
+            client = here.clients[name]
+            assert client.whole_at is not None and client.whole_at < stop.kill, name
+            assert client.status in (*FAILED, 429), name
+
+    asyncio.run(asyncio.wait_for(play(), 60))
+
+
+def test_a_shared_descriptor_without_a_successor_is_no_reason_to_turn_clients_away() -> None:
+    async def play() -> None:
+        async with scene(3.0, successor=True) as (here, _):
+            await here.connect("kept")
+            stop = here.stop()
+            await stop.at(0.3)
+            client = await here.open("warm-new")
+            here.place("warm-new")
+            client.follow()
+            await stop.end()
+        assert here.clients["warm-new"].status == 200
+
+    asyncio.run(asyncio.wait_for(play(), 60))
