Go on accepting whatever accept says, and send nothing on for clients that have gone

Found by tests/shim, a small library of ours preloaded into the program: wire/clients.py and console/endpoint.py listened by the event loop's server, which spun at an accept that fails (1.2 million calls a second at ECONNABORTED) and lost who waited when it was asked to stop meanwhile; cores/guardian.py spun with a log line a turn and reset its accept queue when it closed. wire/exchange.py sent an attempt for a client whose end lay unread behind its request, and one that had pipelined more than 32 requests was not known to have left at all (reading is paused then). Change: wire/listener.py accepts by itself, pauses 20 ms after a failing accept, closes a queue only when it is empty; one look at the client's connection before each attempt; connections whose reading is paused are looked at every 40 ms (100 before). test_clients_that_send_much_at_once relied on the order of two reads in one turn; it now waits until the floods are known to have gone, which failed for good before this change. Ruled out there: a lost request (the 429 was the node's full house).

--- a/opalgauge/console/endpoint.py
+++ b/opalgauge/console/endpoint.py
@@ -12,8 +12,10 @@
 from opalgauge.memory.effects import AnswerStaff
 from opalgauge.memory.events import Event, MaintAsked
 from opalgauge.memory.state import Figures
+from opalgauge.wire.listener import Listener, bind
 from opalgauge.wire.node_list import node_number
 
+BACKLOG = 64  # callers that wait to be accepted
 MOST_CALLERS = 12  # at once: the oldest silent one makes room for one more
 SILENT = timedelta(seconds=10)  # a call is whole by then, or its caller goes
 DRAIN = timedelta(seconds=1)  # so long what is written behind a call is read and dropped
@@ -77,12 +79,11 @@
         self.kinds, self.figures, self.report, self.refusal = kinds, figures, report, refusal
         self.callers: dict[int, Caller] = {}  # the oldest first
         self.number = 0
-        self.listener: asyncio.Server | None = None
+        self.listener: Listener | None = None
 
     async def listen(self, host: str, port: int) -> None:
         """Raises OSError where the address cannot be had."""
-        loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(lambda: Caller(self), host, port, backlog=64)
+        self.listener = Listener(bind(host, port), BACKLOG, lambda: Caller(self))
 
     def close(self) -> None:
         if self.listener is not None:
--- a/opalgauge/cores/guardian.py
+++ b/opalgauge/cores/guardian.py
@@ -33,10 +33,10 @@
 from opalgauge.lifecycle.reload import reread
 from opalgauge.lifecycle.sources import Reading, Source, told_again
 from opalgauge.memory.drain import ANSWER_MARGIN, EXIT_MARGIN, kill_after
+from opalgauge.wire.listener import Acceptor, bind
 
 TICK = 0.025  # s between looks at the beats
 LOADS = 1.0  # s between weighings of the accounts
-ACCEPT = 64  # connections taken in a turn of the loop
 BACKLOG = 512
 DEALS, DEAL_PAUSE = 40, 0.01  # tries to deal a connection, and s between them
 KEPT = 1.0  # s that a client has to ask again on a connection whose worker ended just after its answer
@@ -94,6 +94,7 @@
         # What each worker still holds for a life that is no more: by that life, by who tells it.
         self.told: dict[tuple[int, int], dict[int, set[tuple[int, int]]]] = {}
         self.listener: socket.socket | None = None
+        self.acceptor: Acceptor | None = None
         self.over: asyncio.Future[int] = self.loop.create_future()
         self.draining = False
         self.tasks: set[asyncio.Task[None]] = set()
@@ -121,10 +122,7 @@
 
     async def serve(self) -> int:
         """Serves until it is asked to stop; the exit status."""
-        self.listener = socket.socket(socket.AF_INET6 if ":" in self.config.listen[0] else socket.AF_INET)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(self.config.listen)
-        self.listener.setblocking(False)
+        self.listener = bind(*self.config.listen)
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self._drain)
         self.loop.add_signal_handler(signal.SIGHUP, self._reload)
@@ -300,36 +298,24 @@
             self.log(f"cannot start: {bad}")
             self._quit(w.Quit(2))
             return
-        self.loop.add_reader(self.listener.fileno(), self._accept)
+        self.acceptor = Acceptor(self.listener, self._accepted)
         host, port = self.config.listen
         known = len(self.config.house.known)
         workers = self.board.seats
         self.log(f"ready: {self.config.name} on {host}:{port}, {known} stock nodes known, {workers} workers")
 
     def _close_doors(self, _: w.CloseDoors) -> None:
-        if self.listener is not None:
-            self.loop.remove_reader(self.listener.fileno())
-            self.listener.close()
-            self.listener = None
+        if self.acceptor is not None:
+            self.acceptor.close_when_empty()
         self._all(sp.Closed())
 
-    def _accept(self) -> None:
-        assert self.listener is not None
-        for _ in range(ACCEPT):
-            try:
-                sock, _addr = self.listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
-            except OSError as bad:
-                self.log(f"clients: cannot take a connection: {bad.strerror}")
-                return
-            sock.setblocking(False)
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            if not self.free:
-                sock.close()  # the workers make room as they would alone; here every place is taken
-                continue
-            self._deal(self.free.pop(), Client(sock, -1, 0), 0)
+    def _accepted(self, sock: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if not self.free:
+            sock.close()  # the workers make room as they would alone; here every place is taken
+            return
+        self._deal(self.free.pop(), Client(sock, -1, 0), 0)
 
     def _deal(self, slot: int, client: Client, consumed: int, tries: int = DEALS) -> None:
         """Gives a connection, between two requests, to the worker that holds the fewest."""
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -29,8 +29,9 @@
     RequestBegun,
     RequestOver,
 )
-from opalgauge.wire.descriptors import borrowed, has_ended, unread
+from opalgauge.wire.descriptors import has_ended, unread
 from opalgauge.wire.line import MOST_BODY, MOST_LONG
+from opalgauge.wire.listener import Listener, bind
 
 BACKLOG = 512  # connections that wait to be accepted
 BODY_STALL = 2.2  # s: a client that sends nothing of its body for so long has stopped
@@ -43,7 +44,7 @@
 LINGER = 0.5  # s: so long a client's bytes are read behind its last answer, and
 MOST_LINGER = 256 * 1024  # bytes: so many of them
 LAST_WRITE = 0.5  # s: for answers that their clients are slow to take, when all leave
-LOOK = 0.1  # s between looks whether the client of a body that is not read on is still there
+LOOK = 0.04  # s between looks whether the client of a body that is not read on is still there
 LONGEST = 3600.0  # s: nobody waits longer for an answer
 # What says how a body is to be read goes with it, and so does the key by which stock nodes know a repeat.
 PASSED = ("Content-Type", "Content-Encoding", "Idempotency-Key")
@@ -229,6 +230,7 @@
         self.trade, self.report, self.ready = trade, report, ready
         self.over: Callable[[int], None] | None = None  # told of each order that waits no more
         self.waiting: dict[int, asyncio.Future[tuple[AnswerClient, StreamReader | None]]] = {}
+        self.askers: dict[int, RequestHandler] = {}  # by order that waits: its connection
         self.connections: dict[int, RequestHandler] = {}
         self.numbers: dict[RequestHandler, int] = {}
         self.reading: dict[RequestHandler, StreamReader] = {}  # bodies whose last byte has not come
@@ -238,8 +240,7 @@
         self.number = self.connection = 0
         self.last = False
         self.shared = False  # another process may listen at the same socket
-        self.taking_in: set[asyncio.Task[Any]] = set()  # connections that waited when listening stopped
-        self.listener: asyncio.Server | None = None
+        self.listener: Listener | None = None
         loop = self.loop = asyncio.get_running_loop()
 
         def make(
@@ -266,48 +267,35 @@
 
     async def listen(self, host: str, port: int, inherited: int | None = None) -> None:
         """Listens at an address, or on the listening socket that this process was started with."""
-        loop = asyncio.get_running_loop()
         self.shared = inherited is not None
-        if inherited is None:
-            self.listener = await loop.create_server(self.server, host, port, backlog=BACKLOG)
-            return
-        sock = socket.socket(fileno=inherited)
-        sock.setblocking(False)
-        self.listener = await loop.create_server(self.server, sock=sock, backlog=BACKLOG)
+        listening = bind(host, port) if inherited is None else socket.socket(fileno=inherited)
+        self.listener = Listener(listening, BACKLOG, self.server)
 
     def stop_accepting(self) -> None:
         """No more connections. What waits in the kernel's queue stays there for whoever else listens."""
         if self.listener is not None:
             self.listener.close()
-            self.listener = None
 
     def stop_listening(self) -> None:
         """No more connections. Those that wait in the kernel's queue are taken in first.
 
         Guards them against the reset that the queue's end sends: their requests may have been written.
         """
-        listener = self.listener
-        if listener is not None and not self.shared:
-            for held in listener.sockets:
-                with contextlib.suppress(OSError):
-                    self._take_in(held)
-        self.stop_accepting()
-
-    def _take_in(self, listening: Any) -> None:
-        with borrowed(listening) as held:
-            while True:
-                accepted, _ = held.accept()
-                accepted.setblocking(False)
-                task = self.loop.create_task(self.loop.connect_accepted_socket(self.server, accepted))
-                self.taking_in.add(task)
-                task.add_done_callback(self.taking_in.discard)
+        if self.listener is not None and not self.shared:
+            self.listener.close_when_empty()
+        else:
+            self.stop_accepting()
+
+    def _accepting(self) -> bool:
+        """Whether a connection that came before listening stopped has not been seen yet."""
+        return self.listener is not None and self.listener.busy
 
     async def close(self, within: float = math.inf) -> None:
         """Ends what is left, in so many seconds at most. Guards requests that had been read and were no
         order yet, or came in meanwhile, when nothing seemed to be owed any more, and answers that their
         clients have yet to take."""
         latest = self.loop.time() + within
-        while (self.waiting or self.taking_in) and self.loop.time() < latest:
+        while (self.waiting or self._accepting()) and self.loop.time() < latest:
             await asyncio.sleep(LAST_ROUND)
         until = min(self.loop.time() + LAST_WRITE, latest)
         while self.loop.time() < (latest if self.waiting else until):
@@ -376,6 +364,15 @@
             transport.abort()  # guards against a client that does not read its answer
         # Otherwise a whole request has been read and its order is on its way: closing now would lose it.
 
+    def gone(self, order: int) -> int | None:
+        """The client that asked, if its connection has ended and the loop has yet to say so."""
+        connection = self.askers.get(order)
+        if connection is None:
+            return None
+        transport = connection.transport
+        ended = transport is None or transport.is_closing() or has_ended(transport)
+        return self.numbers.get(connection) if ended else None
+
     def abort(self, client: int) -> None:
         """Ends a connection in the middle of an answer."""
         connection = self.connections.get(client)
@@ -429,8 +426,11 @@
     async def _order(self, request: web.BaseRequest, order: OrderTaken, whole: bool) -> web.StreamResponse:
         waiting = self.loop.create_future()
         self.waiting[order.order] = waiting
+        self.askers[order.order] = request.protocol
         self.busy.add(request.protocol)
-        look = None if whole else self.loop.create_task(self._look(request))
+        transport = request.transport
+        hears_the_end = whole and transport is not None and transport.is_reading()
+        look = None if hears_the_end else self.loop.create_task(self._look(request))
         try:
             self.report(order)
             effect, flow = await waiting
@@ -439,7 +439,7 @@
         finally:
             if look is not None:
                 look.cancel()
-            del self.waiting[order.order]
+            del self.waiting[order.order], self.askers[order.order]
             self.bodies.pop(order.order, None)
             if self.over is not None:
                 self.over(order.order)
@@ -456,7 +456,8 @@
         return await self._finish(request, response)
 
     async def _look(self, request: web.BaseRequest) -> None:
-        """Guards against sending on a request whose client left while the rest of its body lay unread."""
+        """Guards against holding, and sending on, a request whose client left while something that it sent
+        lies unread: the rest of a body, or more requests than are read ahead."""
         while (transport := request.transport) is not None and not transport.is_closing():
             if not transport.is_reading() and has_ended(transport):
                 transport.abort()
--- a/opalgauge/wire/exchange.py
+++ b/opalgauge/wire/exchange.py
@@ -11,7 +11,17 @@
 from aiohttp import ClientPayloadError, StreamReader
 
 from opalgauge.memory import effects as fx
-from opalgauge.memory.events import BodyEnded, BodyStalled, Event, LineEnded, LineStale, Reached, Woken
+from opalgauge.memory.events import (
+    AttemptHeld,
+    BodyEnded,
+    BodyStalled,
+    ClientLeft,
+    Event,
+    LineEnded,
+    LineStale,
+    Reached,
+    Woken,
+)
 from opalgauge.memory.reducer import Reducer
 from opalgauge.wire import quota_counter, stock_nodes
 from opalgauge.wire.clients import BODY_STALL, NODE_STALL, Clients
@@ -160,6 +170,12 @@
             task.cancel()
 
     def send(self, effect: fx.SendAttempt) -> None:
+        if self.clients is not None and (client := self.clients.gone(effect.order)) is not None:
+            # Guards against an attempt for a client that closed a while ago: a loop that was held up reads
+            # its request first, and its end after that.
+            self.report(AttemptHeld(effect.line))
+            self.report(ClientLeft(client))
+            return
         data = stock_nodes.attempt_bytes(effect.errand, effect.time_left)
         if not effect.errand.more:
             self._write(effect.line, data)
--- /dev/null
+++ b/opalgauge/wire/listener.py
@@ -0,0 +1,137 @@
+"""Listening sockets that go on accepting, whatever a single `accept` says.
+
+The event loop's own servers end a listener, or close the connection that waits, at an `accept` that fails for
+want of descriptors or memory. Here such a connection waits in the kernel's queue until there is room again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+
+ACCEPTED_A_TURN = 64  # connections: others have their turn in between
+ABORTED_A_TURN = 16  # connections that their clients have given up before they were accepted
+PAUSE = 0.02  # s after an `accept` that failed: trying on at once would take the whole core
+
+
+def bind(host: str, port: int) -> socket.socket:
+    """A bound socket at an address of this machine. Raises OSError where it cannot be had."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind((host, port))
+    except OSError:
+        bound.close()
+        raise
+    return bound
+
+
+class Acceptor:
+    """Hands every connection that a listening socket brings to `taken`, until it is closed."""
+
+    def __init__(self, listening: socket.socket, taken: Callable[[socket.socket], None]) -> None:
+        self.listening, self.taken = listening, taken
+        self.listening.setblocking(False)
+        self.loop = asyncio.get_running_loop()
+        self.closed = self.closing = False
+        self.pause: asyncio.TimerHandle | None = None
+        self._watch()
+
+    @property
+    def address(self) -> tuple[str, int]:
+        host, port, *_ = self.listening.getsockname()
+        return str(host), int(port)
+
+    def _watch(self) -> None:
+        self.pause = None
+        self.loop.add_reader(self.listening.fileno(), self._accept)
+        if self.closing:
+            self._accept()
+
+    def _accept(self) -> None:
+        """Takes what waits; closes the socket behind the last one where it is to be closed."""
+        aborted = 0
+        for _ in range(ACCEPTED_A_TURN):
+            try:
+                accepted, _address = self.listening.accept()
+            except BlockingIOError:
+                if self.closing:
+                    self.close()
+                return
+            except ConnectionAbortedError:
+                aborted += 1
+                if aborted < ABORTED_A_TURN:
+                    continue
+                self._pause()
+                return
+            except OSError:
+                self._pause()
+                return
+            accepted.setblocking(False)
+            self.taken(accepted)
+        if self.closing:
+            self._pause()
+
+    def _pause(self) -> None:
+        self.loop.remove_reader(self.listening.fileno())
+        if self.pause is None:
+            self.pause = self.loop.call_later(PAUSE, self._watch)
+
+    def close(self) -> None:
+        """Accepts no more. What waits in the kernel's queue is left to whoever else listens at the socket,
+        or reset with it."""
+        if self.closed:
+            return
+        self.closed = True
+        if self.pause is not None:
+            self.pause.cancel()
+        self.loop.remove_reader(self.listening.fileno())
+        self.listening.close()
+
+    def close_when_empty(self) -> None:
+        """Closes the socket as soon as no connection waits in its queue: the queue's end resets what does."""
+        if not self.closed and not self.closing:
+            self.closing = True
+            if self.pause is None:
+                self._accept()
+
+
+class Listener:
+    """A listening socket whose connections speak a protocol."""
+
+    def __init__(self, listening: socket.socket, backlog: int, make: Callable[[], asyncio.Protocol]) -> None:
+        self.make = make
+        self.loop = asyncio.get_running_loop()
+        self.starting: set[asyncio.Task[None]] = set()  # accepted, and not yet with their protocol
+        listening.listen(backlog)
+        self.acceptor = Acceptor(listening, self._taken)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self.acceptor.address
+
+    @property
+    def busy(self) -> bool:
+        """Whether a connection that was accepted, or is still to be, has not reached its protocol."""
+        return bool(self.starting) or self.acceptor.closing and not self.acceptor.closed
+
+    def _taken(self, accepted: socket.socket) -> None:
+        task = self.loop.create_task(self._start(accepted))
+        self.starting.add(task)
+        task.add_done_callback(self.starting.discard)
+
+    async def _start(self, accepted: socket.socket) -> None:
+        try:
+            await self.loop.connect_accepted_socket(self.make, accepted)
+        except OSError:
+            with contextlib.suppress(OSError):
+                accepted.close()
+
+    def close(self) -> None:
+        self.acceptor.close()
+
+    def close_when_empty(self) -> None:
+        self.acceptor.close_when_empty()
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -130,7 +130,7 @@
 
     async def client(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         assert self.clients.listener is not None
-        return await asyncio.open_connection(*self.clients.listener.sockets[0].getsockname())
+        return await asyncio.open_connection(*self.clients.listener.address)
 
     async def ask(self, data: bytes) -> asyncio.Task[bytes]:
         """Sends a request on a connection of its own; the task gives its answer."""
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -10,9 +10,10 @@
 import socket
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any
 
 from opalgauge.lab.ports import free_ports
@@ -175,9 +176,10 @@
     scratch: str = "",
     port: int = 0,
     settings: dict[str, Any] = SETTINGS,
+    environ: Mapping[str, str] = MappingProxyType({}),
 ) -> AsyncIterator[Ingress]:
     """The program itself, ready to serve."""
-    async with starting(node, quota, nodes, listener, scratch, port, settings) as one:
+    async with starting(node, quota, nodes, listener, scratch, port, settings, environ) as one:
         assert one.process.stderr is not None
         while b"ready" not in (line := await asyncio.wait_for(one.process.stderr.readline(), 60)):
             assert b"maint" in line or b"handover" in line
@@ -193,6 +195,7 @@
     scratch: str = "",
     port: int = 0,
     settings: dict[str, Any] = SETTINGS,
+    environ: Mapping[str, str] = MappingProxyType({}),
 ) -> AsyncIterator[Ingress]:
     """The program itself, as `run` starts it, between the given parties.
 
@@ -211,7 +214,7 @@
         path = Path(folder) / "config.json"
         path.write_text(json.dumps(config))
         env = {k: v for k, v in os.environ.items() if not k.startswith("BALANCER_")}
-        env |= {"BALANCER_CONFIG": str(path), "TMPDIR": scratch or folder}
+        env |= {"BALANCER_CONFIG": str(path), "TMPDIR": scratch or folder, **environ}
         if listener is not None:
             port = listener.getsockname()[1]
             env["BALANCER_LISTEN_FD"] = str(listener.fileno())
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -439,23 +439,54 @@
     play(what)
 
 
+@pytest.mark.parametrize("end", ["close", "reset", "half"])
+def test_a_client_that_went_before_its_request_was_read_gets_no_attempt(end: str) -> None:
+    async def what() -> None:
+        async with scene() as here:
+            first = await here.ask(check("first"))
+            peer = await here.nodes[0].peer()
+            await peer.request()
+            peer.say(told(b"first"))
+            assert (await first).endswith(b"first")
+            await until(lambda: not here.clients.numbers)
+            here.pass_time(30 * MS)  # its connection to the node can be used at once
+            assert here.clients.listener is not None
+            # All in one turn: the loop finds a request and its client's end.
+            late = socket.create_connection(here.clients.listener.address)
+            late.send(check("late"))
+            if end == "reset":
+                late.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+            late.shutdown(socket.SHUT_WR) if end == "half" else late.close()
+            await until(lambda: here.clients.connection == 2 and not here.clients.numbers)
+            assert here.books.tally.tries == 1 and not here.books.orders
+            ended = asyncio.create_task(peer.reader.read())
+            await asyncio.sleep(0)
+            assert not ended.done() or ended.result() == b"", "it was sent on"
+            ended.cancel()
+            late.close()
+
+    play(what)
+
+
 def test_clients_that_send_much_at_once_and_go_leave_nothing_and_others_are_answered() -> None:
     async def what() -> None:
         async with scene(most_clients=60, most_orders=40) as here:
             assert here.clients.listener is not None
-            at = here.clients.listener.sockets[0].getsockname()
+            at = here.clients.listener.address
             floods = []
             for n in range(20):
                 flood = socket.create_connection(at)
                 flood.setblocking(False)
                 flood.send(b"".join(place(f"id-{n}-{m}") for m in range(60)))
                 floods.append(flood)
-            await until(lambda: here.books.orders)
+            await until(lambda: here.clients.connection == 20 and here.books.orders)
             assert len(here.books.orders) <= 40
-            answer = await here.ask(check("good").replace(b"b4d65521", b"00000001"))
             for flood in floods:
                 flood.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
                 flood.close()
+            # Whether an end is read before another's request in one turn of the loop is the system's order.
+            await until(lambda: not here.clients.numbers)
+            answer = await here.ask(check("good").replace(b"b4d65521", b"00000001"))
             good = asyncio.create_task(_serve(here))
             assert (await answer).endswith(b"good")
             good.cancel()
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -25,7 +25,7 @@
         self.socket = socket.socket()
         if small:  # so that most of an answer waits at the ingress
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-        self.socket.connect(here.clients.listener.sockets[0].getsockname())
+        self.socket.connect(here.clients.listener.address)
         self.socket.setblocking(False)
 
     def say(self, data: bytes) -> None:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -174,7 +174,7 @@
         clients = Clients(Trade([("stock-check", True)], ["negoce"], 3.0, 2), seen.append, lambda: True)
         await clients.listen("127.0.0.1", 0)
         assert clients.listener is not None
-        reader, writer = await asyncio.open_connection(*clients.listener.sockets[0].getsockname())
+        reader, writer = await asyncio.open_connection(*clients.listener.address)
         while not clients.connections:
             await asyncio.sleep(0)
         ((number, connection),) = clients.connections.items()
