--- /dev/null
+++ b/tests/soak/deployment.py
@@ -0,0 +1,83 @@
+"""What a run is drawn from its seed: a deployment, and the faults that cross in it."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+from tests.soak.records import Effect, Limits
+
+ZONES = ("east", "west")
+MANY_SERVERS = 100
+LENGTH = 12.0  # s of traffic
+UNITS_TOP = 3
+
+
+@dataclass(frozen=True)
+class RequestClass:
+    name: str
+    effect: Effect
+    aim: float
+    deadline: float
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """The drawn figures; `told` gives them in the platform's words."""
+
+    seed: int
+    classes: tuple[RequestClass, ...]
+    instances: int
+    servers: int
+    capacity: float  # requests a second of a warm server
+    rate: float  # requests a second of all clients together
+    limits: Limits
+    crowd: bool  # idle clients hold all the descriptors that they can
+    shim: bool  # system calls fail now and then
+    upgrades: bool  # a new process stands beside the old one at each restart
+
+    def settings(self, me: int) -> dict[str, Any]:
+        limits = self.limits
+        return {
+            "balancers": self.instances, "me": me, "tick": 0.002, "zone": 0, "zones": list(ZONES),
+            "classes": [
+                {"name": c.name, "aim": c.aim, "deadline": c.deadline, "credit": 2.0,
+                 "effect": c.effect.value}
+                for c in self.classes
+            ],
+            "tiers_of_service": [
+                {"name": "basic", "quota_rate": 10_000.0, "most_at_once": 50_000.0, "pays": 1.0}
+            ],
+            "domain": {"shared_counter": True, "counter_timeout": 0.08, "units_top": UNITS_TOP},
+            "ceilings": {"try_limit": 3, "cancelling": True, "conn_idle": 10.0, "dial_timeout": 0.25,
+                         "probes": False},
+            "invariants": {"cold": limits.cold, "cold_from": limits.cold_from, "fall": limits.fall,
+                           "fall_multiple": limits.fall_multiple},
+            "load_info": {"fields": []},
+            "discovery": "pushed",
+        }  # fmt: skip
+
+
+def draw(seed: int, crowd: bool | None = None, shim: bool | None = None) -> Deployment:
+    rng = random.Random(seed)
+    longest = rng.choice([0.4, 1.0, 2.0, 3.0, 5.0])
+    classes = []
+    for n in range(rng.randint(2, 5)):
+        deadline = longest if n == 0 else rng.uniform(0.4, 1.0) * longest
+        effect = Effect.UNSAFE if n == 0 else rng.choice(list(Effect))
+        classes.append(RequestClass(f"class-{n}", effect, deadline / rng.uniform(2.5, 5.0), deadline))
+    servers = MANY_SERVERS if rng.random() < 0.1 else rng.randint(4, 10)
+    capacity = rng.uniform(15.0, 30.0)
+    instances = rng.randint(1, 4)
+    rate = min(120.0, 0.4 * capacity * servers)
+    limits = Limits(
+        longest_deadline=longest, cold=16.0, cold_from=0.2, fall=1.5, fall_multiple=2.5, stop_sending=2.0,
+        descriptors=512, memory_mb=128.0,
+    )  # fmt: skip
+    drawn_crowd, drawn_shim = rng.random() < 0.4, rng.random() < 0.4
+    return Deployment(
+        seed, tuple(classes), instances, servers, capacity, rate, limits,
+        drawn_crowd if crowd is None else crowd, drawn_shim if shim is None else shim,
+        upgrades=rng.random() < 0.6,
+    )  # fmt: skip
