Record what a process did last, with the reason of every answer and close

An effect that fails no longer takes the other effects of its event along (wire/exchange.py _perform). Nothing per request in the log.

--- a/opalgauge/console/commands.py
+++ b/opalgauge/console/commands.py
@@ -22,6 +22,11 @@
     """The figures."""
 
 
+@dataclass(frozen=True, slots=True)
+class Record:
+    """What the process did last."""
+
+
 @dataclass(frozen=True, slots=True)
 class Maint:
     """A stock node out of use, or back."""
@@ -37,7 +42,7 @@
     why: str
 
 
-Call = Status | Stats | Maint | Wrong
+Call = Status | Stats | Record | Maint | Wrong
 
 
 def understand(line: bytes) -> Call:
@@ -51,16 +56,18 @@
             return Status()
         case ["stats"]:
             return Stats()
+        case ["record"]:
+            return Record()
         case ["maint-on" | "maint-off" as word, name] if ID.fullmatch(name):
             return Maint(name, word == "maint-on")
         case []:
             return Wrong("no call")
-        case ["status" | "stats" as word, *_]:
+        case ["status" | "stats" | "record" as word, *_]:
             return Wrong(f"{word} takes no argument")
         case ["maint-on" | "maint-off" as word, *_]:
             return Wrong(f"{word} takes one stock node's ID")
         case _:
-            return Wrong("unknown call; known are status, stats, maint-on ID, maint-off ID")
+            return Wrong("unknown call; known are status, stats, record, maint-on ID, maint-off ID")
 
 
 def answer(yes: bool, text: str) -> bytes:
@@ -68,6 +75,11 @@
     return f"{200 if yes else 400} {text}\n".encode("ascii", "replace")
 
 
+def record(lines: Sequence[str]) -> bytes:
+    """A line that begins with 200, a line an entry, and the line EOF."""
+    return "\n".join(["200 record", *lines, "EOF\n"]).encode("ascii", "replace")
+
+
 def figures(told: Figures, kinds: Sequence[str], more: Sequence[str] = ()) -> bytes:
     """A line that begins with 200, a line a figure, `more` of them, and the line EOF."""
     lines = ["200 figures"]
--- a/opalgauge/console/endpoint.py
+++ b/opalgauge/console/endpoint.py
@@ -74,8 +74,9 @@
         report: Callable[[Event], None],
         refusal: Callable[[], str],
         more: Callable[[], list[str]] | None = None,
+        record: Callable[[], list[str]] = list,
     ) -> None:
-        self.more = more or list
+        self.more, self.record = more or list, record
         self.kinds, self.figures, self.report, self.refusal = kinds, figures, report, refusal
         self.callers: dict[int, Caller] = {}  # the oldest first
         self.number = 0
@@ -118,6 +119,8 @@
                 caller.answer(commands.answer(not refusal, refusal or "serving"))
             case commands.Stats():
                 caller.answer(commands.figures(self.figures(), self.kinds, self.more()))
+            case commands.Record():
+                caller.answer(commands.record(self.record()))
             case commands.Maint(name, out):
                 self.report(MaintAsked(caller.number, name, node_number(name), out))
             case commands.Wrong(why):
--- a/opalgauge/lifecycle/service.py
+++ b/opalgauge/lifecycle/service.py
@@ -181,6 +181,7 @@
     loop.add_signal_handler(signal.SIGTERM, drain)
     loop.add_signal_handler(signal.SIGINT, drain)
     loop.add_signal_handler(signal.SIGHUP, reload)
+    loop.add_signal_handler(signal.SIGUSR1, exchange.recorder.write, config.scratch, config.name, log)
     ban_file = BanFile(config.scratch, log) if config.console and config.scratch else None
     if ban_file is not None:
         exchange.do[fx.KeepMarks] = ban_file.keep
@@ -198,6 +199,7 @@
         report=exchange.report,
         refusal=lambda: "draining" if draining else "" if ready else "starting",
         more=joined.figures if joined is not None else None,
+        record=exchange.recorder.lines,
     ) as opened:
         if opened is not None:
             exchange.do[fx.AnswerStaff] = opened.answered
@@ -211,6 +213,8 @@
             host, port = config.listen
             log(f"ready: {config.name} on {host}:{port}, {len(config.house.known)} stock nodes known")
         await over.wait()
+        if exchange.reducer.books.flows or exchange.reducer.books.orders:
+            exchange.recorder.write(config.scratch, config.name, log)  # it leaves, and owes something
         await asyncio.sleep(LINGER.total_seconds())
         if link is not None:
             link.close()
--- a/opalgauge/memory/effects.py
+++ b/opalgauge/memory/effects.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from enum import Enum
+from typing import Any
 
 from opalgauge.memory.events import Errand, MaintMark, OrderTaken
 from starlinggap.interface import End, ServerEntry
@@ -18,6 +19,35 @@
     NODE_LIST = "node list"
 
 
+class Why(Enum):
+    """Why a request was answered as it was, or a connection closed; for the record of what has happened."""
+
+    UNSAID = "-"
+    SERVED = "a server answered"
+    FAILED = "its attempts failed"
+    REFUSED = "the decisions refused it"
+    OVERDUE = "its time was up"
+    BODY_STOPPED = "its body stopped"
+    TOO_MANY = "too many requests or long bodies at once"
+    ID_IN_USE = "its id is open already"
+    WORKER_LOST = "the worker that decided is no more"
+    STOPPING = "the process stops"
+    CROWDED = "no room for more connections"
+    IDLE = "idle too long"
+    LIST_CHANGED = "its server left the list, or was taken out"
+    CALLED_OFF = "the attempt was called off"
+    DIAL_LATE = "it did not come up in time"
+    HALTING = "its answer halted"
+    DONE = "it carries nothing more"
+    SILENT = "nothing was heard on it"
+    READDRESSED = "a new configuration"
+
+
+def why(reason: Why = Why.UNSAID) -> Any:
+    """A field that two equal effects may differ in."""
+    return field(default=reason, compare=False)
+
+
 @dataclass(slots=True)
 class OpenLine:
     line: int
@@ -30,6 +60,7 @@
     """Ends the connection at once; nothing more is reported of it."""
 
     line: int
+    why: Why = why()
 
 
 @dataclass(slots=True)
@@ -79,6 +110,7 @@
     last: bool = False
     flow: int = 0
     length: int | None = None
+    why: Why = why()
 
 
 @dataclass(slots=True)
@@ -106,6 +138,7 @@
 
     client: int
     crowded: bool = False
+    why: Why = why()
 
 
 @dataclass(slots=True)
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -16,6 +16,7 @@
 from opalgauge.memory import effects as fx
 from opalgauge.memory import events as ev
 from opalgauge.memory.drain import DrainSchedule, kill_after
+from opalgauge.memory.effects import Why
 from opalgauge.memory.state import (
     Attempt,
     Books,
@@ -59,7 +60,7 @@
         self.on: dict[type, Callable[[Any], None]] = {
             ev.OrderTaken: self._order_taken,
             ev.OrderPassed: self._order_passed,
-            ev.OrderClashes: lambda e: self._turn_away(e.order, e.client, 400),
+            ev.OrderClashes: lambda e: self._turn_away(e.order, e.client, 400, Why.ID_IN_USE),
             ev.OrderReturned: self._order_returned,
             ev.CoreLost: self._core_lost,
             ev.ClientCame: self._client_came,
@@ -187,7 +188,7 @@
         order = self.books.orders.get(event.order)
         if order is not None and order.core is not None:
             self._answer(
-                event.order, event.status, body=event.body, content_type=event.content_type,
+                event.order, event.status, Why.SERVED, body=event.body, content_type=event.content_type,
                 retry_after=event.retry_after,
             )  # fmt: skip
 
@@ -195,14 +196,17 @@
         # Guards what may have run at a core that is no more: it is never sent again, nor said to be refused.
         for order in [o for o in self.books.orders.values() if o.core == event.core]:
             if order.number in event.ran and not order.harmless:
-                self._answer(order.number, 502)
+                self._answer(order.number, 502, Why.WORKER_LOST)
             else:
-                self._answer(order.number, 429, retry_after=self._retry_soon())
+                self._answer(order.number, 429, Why.WORKER_LOST, retry_after=self._retry_soon())
 
-    def _turn_away(self, order: int, client: int, status: int, retry: timedelta | None = None) -> None:
+    def _turn_away(
+        self, order: int, client: int, status: int, why: Why, retry: timedelta | None = None
+    ) -> None:
         """A final answer to a request that does not become an order."""
         self._unquiet(client)
-        self.out.append(fx.AnswerClient(order, status, retry_after=retry, last=self.books.draining))
+        last = self.books.draining
+        self.out.append(fx.AnswerClient(order, status, retry_after=retry, last=last, why=why))
         self._keep(client)
 
     def _open_order(self, event: ev.OrderTaken, core: int | None) -> timedelta | None:
@@ -213,12 +217,12 @@
             # Guards against a crowd of clients taking all memory; nothing has run, so a repeat is harmless.
             retry = timedelta(seconds=house.settings.max_retry_after)
             books.tally.dropped[event.kind] += 1
-            self._turn_away(event.order, event.client, 429, retry)
+            self._turn_away(event.order, event.client, 429, Why.TOO_MANY, retry)
             return None
         if event.errand.correlation in books.open_ids:
             # Guards an open order against another client's request under its id: what comes back for one
             # could not be told from what comes back for the other.
-            self._turn_away(event.order, event.client, 400)
+            self._turn_away(event.order, event.client, 400, Why.ID_IN_USE)
             return None
         kind = house.settings.classes[event.kind]
         # Guards against clients that claim to wait for an hour: nobody waits longer than a kind's deadline.
@@ -228,7 +232,7 @@
             time_left = min(time_left, books.drain.answer_all - self.now)
             if time_left <= NOTHING:
                 books.tally.dropped[event.kind] += 1
-                self._turn_away(event.order, event.client, 429, self._retry_soon())
+                self._turn_away(event.order, event.client, 429, Why.STOPPING, self._retry_soon())
                 return None
         books.open_ids.add(event.errand.correlation)
         answer_by = self._answer_by(time_left)
@@ -271,10 +275,10 @@
             ):
                 oldest = next(iter(quiet.items()), None)
                 if oldest is not None and self.now - oldest[1] >= least:
-                    self._dismiss(oldest[0], crowded=True)
+                    self._dismiss(oldest[0], Why.CROWDED, crowded=True)
                     break
             else:
-                self.out.append(fx.CloseClient(event.client, crowded=True))
+                self.out.append(fx.CloseClient(event.client, crowded=True, why=Why.CROWDED))
                 return
         books.silent[event.client] = self.now
         self._look_later()
@@ -326,7 +330,7 @@
     def _body_stalled(self, event: ev.BodyStalled) -> None:
         # Guards a stock node's connection against a client that stops in the middle of its body.
         if order := self.books.orders.get(event.order):
-            self._answer(event.order, 408, final=True)
+            self._answer(event.order, 408, Why.BODY_STOPPED, final=True)
             self._unwanted(order)
 
     def _keep(self, client: int) -> None:
@@ -352,18 +356,18 @@
             for client, since in list(quiet.items()):
                 if self.now - since < limit:
                     break
-                self._dismiss(client)
+                self._dismiss(client, Why.IDLE)
         if books.silent or books.arriving or books.kept:
             self._look_later()
 
-    def _dismiss(self, client: int, crowded: bool = False) -> None:
+    def _dismiss(self, client: int, why: Why, crowded: bool = False) -> None:
         self._unquiet(client)
-        self.out.append(fx.CloseClient(client, crowded))
+        self.out.append(fx.CloseClient(client, crowded, why))
 
     def _overdue(self, number: int) -> None:
         order = self.books.orders.get(number)
         if order is not None and self.now >= order.answer_by:
-            self._answer(number, 504)
+            self._answer(number, 504, Why.OVERDUE)
             self._unwanted(order)
 
     def _unwanted(self, order: Order) -> None:
@@ -373,7 +377,7 @@
         else:
             self.out.append(fx.RecallOrder(order.core, order.number))
 
-    def _answer(self, number: int, status: int, final: bool = False, **more: Any) -> None:
+    def _answer(self, number: int, status: int, why: Why, final: bool = False, **more: Any) -> None:
         """The one final answer: an order that is answered is no longer held, so there is no second."""
         if order := self.books.orders.pop(number, None):
             self.books.open_ids.discard(order.errand.correlation)
@@ -387,7 +391,7 @@
             # others cannot connect. Connections that are used again and again are left alone.
             crowded = order.first and len(books.asking) + len(books.kept) > self.house.crowd
             last = books.draining or crowded or final
-            self.out.append(fx.AnswerClient(number, status, last=last, **more))
+            self.out.append(fx.AnswerClient(number, status, last=last, why=why, **more))
             if flows:
                 books.flows[number] = Flow(number, order.kind, order.client, more["flow"])
             elif self.books.asking.pop(order.client, None) is not None:
@@ -399,13 +403,14 @@
             return
         if order.may_have_run and not order.harmless:
             # Guards against a refusal, which invites a repeat, of what may have run and must not run twice.
-            self._answer(order.number, 502)
+            self._answer(order.number, 502, Why.FAILED)
             return
-        self._answer(order.number, 429, retry_after=timedelta(seconds=action.retry_after))
+        retry = timedelta(seconds=action.retry_after)
+        self._answer(order.number, 429, Why.REFUSED, retry_after=retry)
 
     def _fail(self, action: i.Fail) -> None:
         if order := self.books.orders.get(action.request):
-            self._answer(order.number, 504 if order.timed_out else 502)
+            self._answer(order.number, 504 if order.timed_out else 502, Why.FAILED)
 
     # --- attempts ------------------------------------------------------------------------------------------
     def _send(self, action: i.Send) -> None:
@@ -578,7 +583,7 @@
         line = self.books.lines.get(attempt.line)
         if line is not None:
             never = line.stage is Stage.OPENING
-            self._close_line(line)
+            self._close_line(line, Why.CALLED_OFF)
             if never and end is i.End.TIMEOUT:
                 end = i.End.CONNECT_FAILED
         self._ended(attempt, end)
@@ -606,28 +611,28 @@
             if line.stage is Stage.IDLE:
                 books.idle[line.node].remove(line.number)
 
-    def _close_line(self, line: Line) -> None:
+    def _close_line(self, line: Line, why: Why) -> None:
         self._forget(line)
-        self.out.append(fx.CloseLine(line.number))
+        self.out.append(fx.CloseLine(line.number, why))
 
     def _drop_an_idle_line(self) -> bool:
         for idle in self.books.idle.values():
             if idle:
-                self._close_line(self.books.lines[idle[0]])
+                self._close_line(self.books.lines[idle[0]], Why.CROWDED)
                 return True
         return False
 
     def _close(self, action: i.Close) -> None:
-        self._close_idle(action.server)
+        self._close_idle(action.server, Why.SILENT)
 
-    def _close_idle(self, node: int) -> None:
+    def _close_idle(self, node: int, why: Why = Why.LIST_CHANGED) -> None:
         for number in list(self.books.idle.get(node, ())):
-            self._close_line(self.books.lines[number])
+            self._close_line(self.books.lines[number], why)
 
     def _dial_over(self, number: int) -> None:
         line = self.books.lines.get(number)
         if line is not None and line.stage is Stage.OPENING:
-            self._close_line(line)
+            self._close_line(line, Why.DIAL_LATE)
             self._lost(line, ev.Reached.CONNECTING)
 
     def _line_up(self, event: ev.LineUp) -> None:
@@ -682,7 +687,7 @@
     def _answer_halting(self, line: Line, begun: datetime) -> None:
         # Guards against answers that promise more than they bring: whatever else waits there waits in vain.
         if line.number in self.books.lines and line.begun == begun:
-            self._close_line(line)
+            self._close_line(line, Why.HALTING)
             self._lost(line, ev.Reached.ANSWERING)
 
     def _lost(self, line: Line, reached: ev.Reached) -> None:
@@ -705,7 +710,7 @@
         line = self.books.lines.get(number)
         # Guards against writing to a connection just as the stock node closes it: that would be a reset.
         if line is not None and line.stage is Stage.IDLE and line.since == since:
-            self._close_line(line)
+            self._close_line(line, Why.IDLE)
 
     def _node_answered(self, event: ev.NodeAnswered) -> None:
         line = self.books.lines.get(event.line)
@@ -716,7 +721,9 @@
         if attempt is None:
             return
         if event.end is i.End.OK and not attempt.probe:
-            self._answer(attempt.order, 200, body=event.body, content_type=event.content_type)
+            self._answer(
+                attempt.order, 200, Why.SERVED, body=event.body, content_type=event.content_type
+            )
         self._ended(attempt, event.end, event.load, self._meant(event.true_units))
 
     # --- long answers --------------------------------------------------------------------------------------
@@ -727,13 +734,14 @@
         attempt, line.begun = line.attempt, None
         if attempt is None or attempt.probe or attempt.order not in self.books.orders or self._streams_full():
             # Guards the memory, too: one more long answer than it holds fails, before all of them do.
-            self._close_line(line)
+            self._close_line(line, Why.TOO_MANY)
             self._lost(line, ev.Reached.ANSWERING)
             return
         line.attempt, line.flow = None, attempt.order
         self._answer(
-            attempt.order, 200, content_type=event.content_type, flow=line.number, length=event.length
-        )
+            attempt.order, 200, Why.SERVED, content_type=event.content_type, flow=line.number,
+            length=event.length,
+        )  # fmt: skip
         # The aim is met by the first bytes, and what comes after them says nothing of the node's pace.
         self._ended(attempt, i.End.OK, event.load, self._meant(event.true_units))
 
@@ -762,14 +770,14 @@
         """Nobody waits for the rest of a long answer, if there is one."""
         line = self.books.lines.get(flow.line)
         if line is not None and line.flow == flow.order:
-            self._close_line(line)
+            self._close_line(line, Why.CALLED_OFF)
 
     def _rest_or_close(self, line: Line, keep: bool) -> None:
         """A connection whose answer is whole: kept for the next attempt, unless its node gets none."""
         if keep and self._wanted(line):
             self._rest(line)
         else:
-            self._close_line(line)
+            self._close_line(line, Why.DONE)
 
     def _wanted(self, line: Line) -> bool:
         """Whether its stock node gets requests, and is still the process that it was opened to."""
@@ -784,7 +792,7 @@
         waits for its connection there: it is sent elsewhere. Called when lists or staff have said so."""
         for line in [li for li in self.books.lines.values() if li.party is fx.Party.STOCK_NODE]:
             if line.stage is Stage.OPENING and not self._wanted(line):
-                self._close_line(line)
+                self._close_line(line, Why.LIST_CHANGED)
                 self._lost(line, ev.Reached.CONNECTING)
 
     # --- quota counter -------------------------------------------------------------------------------------
@@ -808,7 +816,7 @@
         line = books.counter.get(place)
         if line is not None and len(line.waiting) + len(line.written) >= house.counter_depth:
             # Guards against a silent counter filling the memory: all calls are answered, it is redialled.
-            self._close_line(line)
+            self._close_line(line, Why.SILENT)
             self._counter_line_lost(line)
             line = None
         if line is None:
@@ -857,7 +865,7 @@
         house, heard = self.house, self.books.counter_heard
         lives = heard is not None and heard - call.made > house.counter_timeout
         if lives or self.now - call.made >= house.counter_patience:
-            self._close_line(line)
+            self._close_line(line, Why.SILENT)
             self._counter_line_lost(line)
         else:
             self._at(self.now + house.counter_doubt, self._counter_silent, line, call)
@@ -870,7 +878,7 @@
         if line.written:
             self._tell_count(line.written.popleft(), event.end, event.total)
         if not event.keep:
-            self._close_line(line)
+            self._close_line(line, Why.DONE)
             self._counter_line_lost(line)
 
     def _counter_line_lost(self, line: Line) -> None:
@@ -900,7 +908,7 @@
     def _list_silent(self, line: Line, asked: datetime) -> None:
         # Guards against an agent that never answers: the watch is asked anew on a fresh connection.
         if line.number in self.books.lines and line.since == asked:
-            self._close_line(line)
+            self._close_line(line, Why.SILENT)
             self._list_line_lost(line)
 
     def _list_unheard(self, what: str) -> None:
@@ -929,7 +937,7 @@
             # been counted anew: the whole list is asked for, after a pause.
             self._list_unheard("unreadable answer; asking for the whole list")
             self.books.list_version = None
-            self._close_line(line)
+            self._close_line(line, Why.FAILED)
             self._at(self.now + self.house.list_pause, self._ask_list)
             return
         if not self.books.list_heard:
@@ -939,7 +947,7 @@
         if event.nodes or not changes:
             self._take_list(event.kind, event.nodes)
         if not event.keep:
-            self._close_line(line)
+            self._close_line(line, Why.DONE)
         # Guards against an agent that does not wait: asking it without a pause would take the whole core.
         news = event.version != known and (event.nodes or not changes)
         if not news and self.now - asked < self.house.list_pause:
@@ -963,7 +971,7 @@
         pause = max(house.list_turn, house.list_pause * 4) * 2 ** min(books.list_refusals, 10)
         pause = min(max(house.list_turn * 2, house.list_longest_pause), pause)
         books.list_refusals += 1
-        self._close_line(line)
+        self._close_line(line, Why.REFUSED)
         self._at(self.now + pause * (0.5 + self.chance.random()), self._ask_list)
 
     def _take_list(self, kind: i.ListKind, nodes: tuple[ev.StockNode, ...]) -> None:
@@ -1016,14 +1024,14 @@
         if event.counter_address != books.counter_address:
             books.counter_address = event.counter_address
             for line in list(books.counter.values()):
-                self._close_line(line)
+                self._close_line(line, Why.READDRESSED)
                 self._counter_line_lost(line)
         if event.node_list_address != books.node_list_address:
             books.node_list_address = event.node_list_address
             # Guards against versions that another agent counts differently: its whole list is asked for.
             books.list_version, books.list_refusals = None, 0
             if watch := books.lines.get(books.list_line):
-                self._close_line(watch)
+                self._close_line(watch, Why.READDRESSED)
             self._ask_list()
         self.out.append(fx.Log(
             f"reload: quota counter at {books.counter_address}, node list at {books.node_list_address}"
@@ -1145,7 +1153,7 @@
         self.out.append(fx.CloseFront())
         # One whose request is being read is left: it is answered, and its answer ends the connection.
         for client in (*self.books.silent, *self.books.kept):
-            self._dismiss(client)
+            self._dismiss(client, Why.STOPPING)
 
     def _answer_all(self) -> None:
         """Guards every request that was read against SIGKILL, whatever it waits for and however long."""
@@ -1158,14 +1166,14 @@
         for order in list(books.orders.values()):
             may_have_run = order.may_have_run or order.core is not None or order.number in on_the_wire
             if order.coming is not None:
-                self._answer(order.number, 408, final=True)
+                self._answer(order.number, 408, Why.STOPPING, final=True)
             elif may_have_run:
-                self._answer(order.number, 504)
+                self._answer(order.number, 504, Why.STOPPING)
             else:
-                self._answer(order.number, 429, retry_after=self._retry_soon())
+                self._answer(order.number, 429, Why.STOPPING, retry_after=self._retry_soon())
             self._unwanted(order)
         for client in (*books.silent, *books.kept, *books.arriving):
-            self._dismiss(client)
+            self._dismiss(client, Why.STOPPING)
         if books.bodies:
             self.out.append(fx.StopReading())
 
--- a/opalgauge/wire/exchange.py
+++ b/opalgauge/wire/exchange.py
@@ -27,6 +27,7 @@
 from opalgauge.wire.clients import BODY_STALL, NODE_STALL, Clients
 from opalgauge.wire.line import MOST_BODY, MOST_LIST, MOST_LONG, MOST_TOTAL, LineProtocol, Reply, Understand
 from opalgauge.wire.node_list import NodeListReader, question_bytes
+from opalgauge.wire.recorder import Recorder
 
 MOST_FAULTS = 20  # log lines: a defect that shows at every order must not fill the disk
 
@@ -53,6 +54,7 @@
         self.flows = True  # long bodies pass through; not where orders pass between cores
         self.timer: asyncio.TimerHandle | None = None
         self.events: deque[Event] = deque()
+        self.recorder = Recorder()
         self.stepping = False
         self.faults = 0
         self.do: dict[type, Callable[[Any], None]] = {
@@ -106,6 +108,7 @@
         try:
             while self.events:
                 event = self.events.popleft()
+                self.recorder.note(event, self.reducer.now)
                 try:
                     self._perform(self.reducer.step(event, self.now()))
                 except Exception as bad:
@@ -128,8 +131,14 @@
             self.log(f"fault: {what}{last}")
 
     def _perform(self, effects: list[fx.Effect]) -> None:
+        now = self.reducer.now
         for effect in effects:
-            self.do[type(effect)](effect)
+            self.recorder.note(effect, now)
+            try:
+                self.do[type(effect)](effect)
+            except Exception as bad:
+                # Guards the answers behind it: the other effects of the same event are still carried out.
+                self.fault(f"{type(effect).__name__}: {bad!r}")
 
     # --- connections ---------------------------------------------------------------------------------------
     def _open(self, effect: fx.OpenLine) -> None:
