--- a/opalgauge/lab/fleet.py
+++ b/opalgauge/lab/fleet.py
@@ -279,7 +279,7 @@
         if isinstance(whose, Customer) and (ident in self.fleet.first or end == "refused"):
             sent = ident in self.fleet.first
             when = self.fleet.first[ident] if sent else self.loop.time()
-            result.verdicts.append(Verdict(when - (self.fleet.proxy.began or 0.0), account, units, sent))
+            result.verdicts.append(Verdict(when - (self.fleet.proxy.began or 0.0), account, units, sent, me))
         result.worth += worth * (end == "served")
         result.ends.append((at, end))
 
--- a/opalgauge/lab/quotas.py
+++ b/opalgauge/lab/quotas.py
@@ -67,6 +67,7 @@
     account: int
     units: float
     sent: bool
+    ingress: int = -1  # that decided
 
 
 def replay(
