Share what the quota gives back while the counter is gone, in place of giving it to each

It depends on where the cut falls in a window of 4.41 s, so it came and went. Ruled out: the restart (the process that was killed had sent 4 of the 38 units), the stated bound (its derivation gives each ingress its part, which the code did not).

--- a/opalgauge/shares/lease.py
+++ b/opalgauge/shares/lease.py
@@ -399,7 +399,10 @@
         if window.alone:
             free, all_rights = window.account.limit - window.before, window.used + window.rights
             if all_rights <= 1e-9 or free <= 0:
-                return max(window.before, window.account.limit) + window.used
+                # While the counter is gone, what the quota gives back since is the others' too, unseen: as
+                # if all used it alike. For one late answer the others go on by what they hear.
+                part = self._part(window.account) if self.down else 1.0
+                return max(window.before, window.account.limit) + window.used / part
             return window.before + max(0.0, free * window.used / all_rights, window.used)
         if window.kept <= 0:
             return window.seen
