--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -186,6 +186,18 @@
     assert spent == BURST / SPREAD
 
 
+def test_what_a_used_up_quota_gives_back_is_shared_while_the_counter_is_gone() -> None:
+    # Each of the account's ingresses let in all that came back: three of them were 37% beyond a quota.
+    post = Post(ahead=False)
+    post.use(int(BURST), pause=20 * MS)
+    assert post.told() == BURST
+    post.cut()
+    before = post.told()
+    for n in range(1, 4):
+        post.ask()
+        assert post.told() == before + n * SPREAD, "its own use stands for the others' as well"
+
+
 def test_a_restarted_ingress_has_no_rights_in_a_window_that_its_former_life_may_have_spent() -> None:
     post = Post(now=T0 + timedelta(seconds=1), life=2)
     post.cut()
