--- a/starlinggap/brain.py
+++ b/starlinggap/brain.py
@@ -483,8 +483,11 @@
 
     def coldness(self, server: Server) -> float:
         """The least share of its capacity that a server has by now; 1 when warm. No more than its zone's."""
-        cold = self.slow_start.share(max(server.started, server.back), self.now)
-        return min(cold, self.share(server))
+        return min(self.warmth(server), self.share(server))
+
+    def warmth(self, server: Server) -> float:
+        """The same, whatever the fleet sends to its zone."""
+        return self.slow_start.share(max(server.started, server.back), self.now)
 
     def slowness(self, server: Server) -> float:
         """Its time over the usual, forgotten as it ages: what was seen long ago says little of now."""
@@ -536,8 +539,8 @@
     def draw(self, ready: list[int], work: Work) -> tuple[list[int], bool]:
         """Candidates by chance, and whether the first may be a cold one.
 
-        A cold server comes first as often, beside a warm one, as its least capacity stands beside a whole one:
-        so all gateways together, many or few, even or not, send it that part of what each warm one gets,
+        A cold server comes first as often, beside a warm one, as its least capacity stands beside a whole
+        one: so all gateways together, many or few, even or not, send it that part of what each warm one gets,
         however many are cold. By rejection: the cost does not grow with servers.
         """
         drawn = self.rng.sample(ready, min(DRAWN, len(ready)))
@@ -550,7 +553,8 @@
             share = self.coldness(self.servers[first])
             if share >= 1 or self.rng.random() < share * self.cold_part * self.crowding(drawn):
                 return [first, *(k for k in drawn if k != first)], True
-        return drawn, False
+        # One of a zone that the fleet has left may be used where all are left, and a cold one is not.
+        return drawn, bool(drawn) and self.warmth(self.servers[drawn[0]]) >= 1
 
     def crowding(self, drawn: list[int]) -> float:
         """What is left of a cold server's part where hardly any is warm, by those that were drawn.
@@ -558,7 +562,7 @@
         Guards cold servers that are nearly all there is against the traffic of the warm ones that are not:
         the less of the whole capacity is there, the more of it falls on each.
         """
-        there = sum(self.coldness(self.servers[k]) for k in drawn) / len(drawn)
+        there = sum(self.warmth(self.servers[k]) for k in drawn) / len(drawn)
         return min(1.0, there / MOSTLY_COLD)
 
     def same_group(self, work: Work, key: int) -> bool:
