Share the refill only while the counter answers nothing, also not late

Change: an ingress shares what comes back once nothing has answered for 1 s, late answers included (lease.py _gone).

--- a/opalgauge/shares/lease.py
+++ b/opalgauge/shares/lease.py
@@ -30,6 +30,7 @@
 LATE = timedelta(milliseconds=25)  # an answer that takes longer is not waited for: half of a call's time-out
 DOWN_AFTER = 2  # calls late or lost in a row, and the counter is taken to be gone
 TRIAL = timedelta(milliseconds=500)  # a counter that is gone is asked so often
+GONE = timedelta(seconds=1)  # a counter that answers nothing for so long is gone, and not only slow
 JUST = timedelta(milliseconds=150)  # a total so old tells that there is no room
 FRESH = timedelta(milliseconds=300)  # a total so old is read anew; of a window that is over: SETTLED
 SETTLED = timedelta(seconds=1)
@@ -203,6 +204,7 @@
         self.down = False  # the counter is gone, as far as this ingress can tell
         self.down_since: datetime | None = None
         self.reached = False  # the counter has answered in this life
+        self.answered_at = now  # when it last did, however late
         self.trial_at = now
         self.peers = {n: Peer() for n in range(rules.ingresses) if n != rules.me}
         self.number = 0
@@ -246,6 +248,7 @@
         since = self.calls_at.pop(token, None)
         answered = end is i.End.OK and math.isfinite(total)
         if answered:
+            self.answered_at = self.now
             self._up(self.now - since if since is not None else None)
         elif since is not None:
             self._strike()
@@ -343,6 +346,10 @@
             del self.names[window.name], account.windows[n]
         return account.windows[number]
 
+    def _gone(self) -> bool:
+        """Whether the counter has answered nothing, also not late, for so long that no other hears it."""
+        return self.down and self.now - self.answered_at >= GONE
+
     def _part(self, account: Account) -> float:
         return 1.0 / min(account.spread, self.rules.ingresses)
 
@@ -400,8 +407,8 @@
             free, all_rights = window.account.limit - window.before, window.used + window.rights
             if all_rights <= 1e-9 or free <= 0:
                 # While the counter is gone, what the quota gives back since is the others' too, unseen: as
-                # if all used it alike. For one late answer the others go on by what they hear.
-                part = self._part(window.account) if self.down else 1.0
+                # if all used it alike. While it is only slow the others go on by what they hear.
+                part = self._part(window.account) if self._gone() else 1.0
                 return max(window.before, window.account.limit) + window.used / part
             return window.before + max(0.0, free * window.used / all_rights, window.used)
         if window.kept <= 0:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -15,7 +15,7 @@
 from opalgauge.lab.shares import Scene, World
 from opalgauge.memory.sealed import LONGEST
 from opalgauge.shares import messages
-from opalgauge.shares.lease import Action, Call, Leases, Rules, Say, Spent, Tell
+from opalgauge.shares.lease import GONE, Action, Call, Leases, Rules, Say, Spent, Tell
 from opalgauge.shares.messages import Grant, Message, Need
 from starlinggap import interface as i
 from starlinggap.quota import counter_name
@@ -192,6 +192,10 @@
     post.use(int(BURST), pause=20 * MS)
     assert post.told() == BURST
     post.cut()
+    while post.leases.now - post.leases.answered_at < GONE:
+        post.step()
+        post.answer(i.End.TIMEOUT)
+    post.ask()
     before = post.told()
     for n in range(1, 4):
         post.ask()
