--- a/opalgauge/lab/faults.py
+++ b/opalgauge/lab/faults.py
@@ -316,4 +316,3 @@
 
     def error_received(self, exc: Exception) -> None:
         """Its target is not there just now."""
-
--- a/opalgauge/lab/fleet.py
+++ b/opalgauge/lab/fleet.py
@@ -121,9 +121,7 @@
                 self.nodes.append((zone, node))
                 path = await self.proxy.stream(f"{zone_name(zone)}.{name}", node.address)
                 node_lines.append(f"stock-node {name} {path} site={zone_name(zone)}")
-        self.counter_server = await self.loop.create_server(
-            lambda: Http(self.counter.take), "127.0.0.1", 0
-        )
+        self.counter_server = await self.loop.create_server(lambda: Http(self.counter.take), "127.0.0.1", 0)
         quota = f"127.0.0.1:{self.counter_server.sockets[0].getsockname()[1]}"
         ports = free_ports(3 * plan.ingresses)
         self.addresses, self.admin_ports = ports[: plan.ingresses], ports[plan.ingresses : 2 * plan.ingresses]
@@ -286,8 +284,10 @@
     async def _exchange(self, me: int, head: bytes) -> str:
         kept = self.kept.setdefault(me, [])
         for fresh in (False, True):
-            reader, writer = kept.pop() if kept and not fresh else await asyncio.open_connection(
-                "127.0.0.1", self.fleet.addresses[me]
+            reader, writer = (
+                kept.pop()
+                if kept and not fresh
+                else await asyncio.open_connection("127.0.0.1", self.fleet.addresses[me])
             )
             writer.write(head)
             try:
--- a/opalgauge/lab/shares.py
+++ b/opalgauge/lab/shares.py
@@ -120,9 +120,7 @@
         spread = min(customer.tariff.spread, self.s.ingresses)
         if (leases := self.leases[me]) is not None:
             leases.met(customer.number, tariff, spread, customer.first, self._when())
-        request = i.Request(
-            number, 0, tariff, customer.number, 5.0, float(units), spread, customer.first
-        )
+        request = i.Request(number, 0, tariff, customer.number, 5.0, float(units), spread, customer.first)
         self._give(me, request)
 
     def _give(self, me: int, *events: i.Event) -> None:
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -132,8 +132,13 @@
         books = self.books
         coming = books.arriving or books.bodies  # requests that are being read
         crowd = books.silent or books.kept or books.asking
-        if books.draining and not books.orders and not books.flows and not coming and not books.left and (
-            books.grace_over or books.successor and not crowd
+        if (
+            books.draining
+            and not books.orders
+            and not books.flows
+            and not coming
+            and not books.left
+            and (books.grace_over or books.successor and not crowd)
         ):
             books.left = True
             self.out.append(fx.Leave())
@@ -721,9 +726,7 @@
         if attempt is None:
             return
         if event.end is i.End.OK and not attempt.probe:
-            self._answer(
-                attempt.order, 200, Why.SERVED, body=event.body, content_type=event.content_type
-            )
+            self._answer(attempt.order, 200, Why.SERVED, body=event.body, content_type=event.content_type)
         self._ended(attempt, event.end, event.load, self._meant(event.true_units))
 
     # --- long answers --------------------------------------------------------------------------------------
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -247,9 +247,7 @@
             message: RawRequestMessage, payload: StreamReader, protocol: RequestHandler, writer: Any,
             task: asyncio.Task[None],
         ) -> web.BaseRequest:  # fmt: skip
-            return web.BaseRequest(
-                message, payload, protocol, writer, task, loop, client_max_size=MOST_BODY
-            )
+            return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=MOST_BODY)
 
         self.server = front(
             came=self._came,
--- a/opalgauge/wire/exchange.py
+++ b/opalgauge/wire/exchange.py
@@ -62,9 +62,7 @@
             fx.CloseLine: self._close,
             fx.SendAttempt: self.send,
             fx.SendProbe: self._probe,
-            fx.CallCounter: lambda e: self._write(
-                e.line, quota_counter.call_bytes(e.name, e.amount, e.life)
-            ),
+            fx.CallCounter: lambda e: self._write(e.line, quota_counter.call_bytes(e.name, e.amount, e.life)),
             fx.AskNodeList: lambda e: self._write(e.line, question_bytes(e.since, e.wait)),
             fx.AnswerClient: self._answer,
             fx.CloseClient: self._close_client,
--- a/opalgauge/zones/watch.py
+++ b/opalgauge/zones/watch.py
@@ -204,9 +204,7 @@
         alone = place.failing_since is not None and now - place.failing_since >= ALONE
         return alone and fine == 0
 
-    def _step(
-        self, n: int, own: Opinion, votes: Votes, failing: bool, others: bool, now: datetime
-    ) -> None:
+    def _step(self, n: int, own: Opinion, votes: Votes, failing: bool, others: bool, now: datetime) -> None:
         place = self.places[n]
         if place.state is State.LEFT:
             good = place.good_trials(now) + votes.good_trials
@@ -225,7 +223,8 @@
             if place.share >= 1.0:
                 self._move(place, State.IN, "its ramp is over", now, 1.0)
         elif (
-            votes.returning_since is not None and place.returned is None
+            votes.returning_since is not None
+            and place.returned is None
             and self._ramp(now - votes.returning_since) < 1.0
         ):
             # Guards a returning zone against an ingress that was restarted meanwhile and knows of nothing.
--- a/starlinggap/brain.py
+++ b/starlinggap/brain.py
@@ -824,6 +824,7 @@
 
 def check(s: i.Settings) -> None:
     """Refuses settings that cannot be meant, naming the field."""
+
     def need(ok: bool, what: str) -> None:
         if not ok:
             raise i.SettingsError(what)
--- a/starlinggap/interface.py
+++ b/starlinggap/interface.py
@@ -247,8 +247,18 @@
 
 
 Event = (
-    ServerList | Banned | ZoneShare | Request | Outcome | StreamStarted | Written | ClientGone | Probed
-    | TimerFired | Counted | PeerSaid
+    ServerList
+    | Banned
+    | ZoneShare
+    | Request
+    | Outcome
+    | StreamStarted
+    | Written
+    | ClientGone
+    | Probed
+    | TimerFired
+    | Counted
+    | PeerSaid
 )
 
 
--- a/starlinggap/snapshot.py
+++ b/starlinggap/snapshot.py
@@ -125,8 +125,9 @@
 
 def _server(one: Any) -> tuple[int, float, list[float], dict[int, list[float]]]:
     key, started, values, ill = one
-    return int(key), number(started), numbers(values, len(SERVER)), {
-        int(entry[0]): numbers(entry[1:], 3) for entry in ill
-    }
-
-
+    return (
+        int(key),
+        number(started),
+        numbers(values, len(SERVER)),
+        {int(entry[0]): numbers(entry[1:], 3) for entry in ill},
+    )
--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -23,9 +23,7 @@
 )
 
 
-async def first_unless(
-    here: Scene, reading: asyncio.Task[list[tuple[Peer, str, float]]]
-) -> tuple[int, Peer]:
+async def first_unless(here: Scene, reading: asyncio.Task[list[tuple[Peer, str, float]]]) -> tuple[int, Peer]:
     """As `first`; a further call that only reads is answered with nothing."""
     getting = asyncio.create_task(first(here))
     await asyncio.wait([getting, reading], return_when=asyncio.FIRST_COMPLETED)
--- a/tests/test_native.py
+++ b/tests/test_native.py
@@ -14,7 +14,7 @@
 from opalgauge.lifecycle import native
 from tests import harness
 
-SOURCE = '''
+SOURCE = """
 class Total:
     def __init__(self) -> None:
         self.units = 0
@@ -22,7 +22,7 @@
     def add(self, units: int) -> int:
         self.units += units
         return self.units
-'''
+"""
 
 
 @pytest.fixture
--- a/tests/test_replica_scenes.py
+++ b/tests/test_replica_scenes.py
@@ -52,7 +52,7 @@
     )
     result = scene(plan)
     assert [a for a in result.answers[-10:] if not a.endswith("already")] == []
-    (_, _, figures), = result.at_ready
+    ((_, _, figures),) = result.at_ready
     assert figures["replica.caught_up"] == "1" and figures["replica.bans"] == "3"
 
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -213,6 +213,7 @@
             nonlocal done
             done += 1
             return real(*args)
+
         return call
 
     monkeypatch.setattr(Gateway, "coldness", counted(Gateway.coldness))
@@ -592,7 +593,6 @@
     assert verdicts.count("sent") == 24 and crossed == {0, 1, 2}
 
 
-
 def test_a_calm_counter_is_not_asked_for_who_repeats_before_the_store_has_room() -> None:
     rig = GatewayRig(settings())
     assert [rig.ask(units=4.0) for _ in range(2)] == ["sent", "sent"]
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -242,7 +242,11 @@
     code = "import sys, opalgauge.__main__; print(*sorted(sys.modules))"
     loaded = subprocess.run(
         [sys.executable, "-c", code],
-        cwd=harness.ROOT, capture_output=True, text=True, check=True, timeout=120,
+        cwd=harness.ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+        timeout=120,
     ).stdout.split()
     heavy = ("click", "structlog", "hdrh", "opalgauge.cli", "opalgauge.cores", "opalgauge.lifecycle.settings")
     assert not [m for m in loaded if m.startswith(heavy)]
--- a/tests/test_share_scenes.py
+++ b/tests/test_share_scenes.py
@@ -16,15 +16,11 @@
     ingresses=6, leave="off", leases="on", work=0.005, tariffs=TARIFFS, seconds=END,
     schedule=f"{WORDS}{CUT}s counter.* cut\n{BACK}s counter.* heal",
 )  # fmt: skip
-APART = "".join(
-    f"{CUT}s peers.{a}.{b} cut\n{CUT}s peers.{b}.{a} cut\n" for a in HALVES[0] for b in HALVES[1]
-)
+APART = "".join(f"{CUT}s peers.{a}.{b} cut\n{CUT}s peers.{b}.{a} cut\n" for a in HALVES[0] for b in HALVES[1])
 SOME = WORDS + "".join(f"{CUT}s counter.{n} silence\n{BACK}s counter.{n} heal\n" for n in HALVES[0])
 SCENES = {
     "counter gone": BASE,
-    "counter slower": replace(
-        BASE, schedule=WORDS, counter_work=0.0016, counter_slow=(CUT, BACK, 7.7)
-    ),
+    "counter slower": replace(BASE, schedule=WORDS, counter_work=0.0016, counter_slow=(CUT, BACK, 7.7)),
     "gone for some": replace(BASE, schedule=SOME),
     "two halves": replace(BASE, schedule=BASE.schedule + "\n" + APART),
     "two halves, one with the counter": replace(BASE, schedule=SOME + APART),
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -166,6 +166,8 @@
 
 
 CHUNKS = "Transfer-Encoding: chunked\r\n"
+
+
 @pytest.mark.parametrize("leaving", [False, True])
 def test_a_request_that_has_been_read_is_not_lost_to_the_end_of_quiet_connections(leaving: bool) -> None:
     # Guards the turns of the loop between a request's last byte and its order: the reducer does not know yet.
@@ -221,7 +223,8 @@
     "a negative length": (harness.request("POST", "/place-order", more="Content-Length: -1\r\n"), 400),
     "no HTTP": (b"\x16\x03\x01 what is this\r\n\r\n", 400),
     "far too much to send": (
-        harness.request("POST", "/place-order", more="Content-Length: 60000000\r\n"), 413,
+        harness.request("POST", "/place-order", more="Content-Length: 60000000\r\n"),
+        413,
     ),
     "two lengths": (harness.request("POST", "/place-order", b"abc", "Content-Length: 9\r\n"), 400),
 }
