--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -12,6 +12,7 @@
 from opalgauge.memory import events as ev
 from opalgauge.wire.recorder import MOST, NOTED, Recorder
 from tests import harness
+from tests.crossing import play, scene
 from tests.reducer_rig import PLACE, START, ReducerRig
 
 
@@ -64,3 +65,17 @@
                         await asyncio.sleep(0.02)
 
     asyncio.run(asyncio.wait_for(play(), 60))
+
+
+def test_an_effect_that_fails_takes_no_other_along() -> None:
+    async def play_it() -> None:
+        def fails(_: object) -> None:
+            raise OSError("cannot be written")
+
+        async with scene() as here:
+            here.exchange.do[fx.Log] = fails
+            here.exchange.report(ev.DrainAsked(successor=True))  # logs, then accepts no more
+            assert here.clients.listener is not None and here.clients.listener.acceptor.closed
+            assert here.log == ["fault: Log: OSError('cannot be written')"]
+
+    play(play_it)
