Accept clients again where an upgrade's other process dies or is asked to stop

Cause: service.py:168 took any other process that lives for a successor, for good. One that died after the old one was told to stop, one that hung before it was ready and one that was asked to stop as well left the shared socket to nobody: who connected then waited for the next start. And a ban told during an upgrade was at the other process only if the file could be written (link.py:142 read and dropped whatever came after the record).

Change: both ends of the link tell whether they serve, and what staff say (handover/messages.py, a line of JSON each; unknown lines are passed over, so another version may be at the other end). The reducer stops accepting only beside a process that serves and accepts again when none does, up to the schedule's second step. A listener can be suspended; before it was closed for good. MarksFound with keep asks for the file only where it brought something new, or two processes would tell each other for ever.

--- a/opalgauge/handover/link.py
+++ b/opalgauge/handover/link.py
@@ -1,7 +1,8 @@
 """The link between an old and a new process at one address: a Unix socket in the folder that they share.
 
 The new one calls, is handed what the old one knows, and stays connected: by that each knows that the other
-lives. Whoever is alone listens. Nothing of it is needed to serve: what fails is told in the log and left.
+lives. Over it each then tells the other what both have to know (`messages`). Whoever is alone listens.
+Nothing of it is needed to serve: what fails is told in the log and left.
 """
 
 from __future__ import annotations
@@ -14,12 +15,13 @@
 from pathlib import Path
 from typing import Any
 
-from opalgauge.handover import record
-from opalgauge.memory.events import Event, MemoryHanded, ProcessesSeen
+from opalgauge.handover import messages, record
+from opalgauge.memory.events import Event, MaintMark, MarksFound, MemoryHanded, OthersServing, ProcessesSeen
 
 NAME = "opalgauge.kin"
 PATIENCE = timedelta(milliseconds=500)  # a start waits no longer for what the old process knows
 MOST_CALLERS = 4
+MOST_UNSENT = 1 << 20  # bytes for a process that does not read: it is told no more
 
 
 class Link:
@@ -43,13 +45,15 @@
         self.callers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.link: asyncio.StreamWriter | None = None
+        self.serving = False  # this process
+        self.others_serving: set[asyncio.StreamWriter] = set()  # those at the other ends that have said so
 
     async def start(self) -> None:
         """Hears what an old process knows, if there is one; listens where there is none."""
         told = None
         try:
             async with asyncio.timeout(PATIENCE.total_seconds()):
-                reader, self.link = await asyncio.open_unix_connection(str(self.path))
+                reader, self.link = await asyncio.open_unix_connection(str(self.path), limit=messages.LONGEST)
                 self.report(ProcessesSeen(2))
                 self.link.write(record.hello(self.who))
                 head = await reader.readline()
@@ -78,6 +82,23 @@
         for event in early:
             report(event)
 
+    def tell_serving(self, serving: bool) -> None:
+        """Whether this process accepts clients, and goes on doing so."""
+        self.serving = serving
+        self._tell(messages.Serving(serving))
+
+    def tell_bans(self, marks: tuple[MaintMark, ...]) -> None:
+        self._tell(messages.Bans(marks))
+
+    def _tell(self, message: messages.Message) -> None:
+        """Tells the other process, if there is one that reads."""
+        line = messages.write(message)
+        if len(line) > messages.LONGEST:
+            return
+        for writer in (self.link, *self.callers):
+            if writer is not None and writer.transport.get_write_buffer_size() < MOST_UNSENT:
+                writer.write(line)
+
     def _strangers(self) -> None:
         """Another ingress has this folder, too. Its place there is left to it, and its part of the limits."""
         assert self.link is not None
@@ -107,17 +128,39 @@
         return record.read(head + await reader.readexactly(size), self.moment())
 
     async def _until_alone(self, reader: asyncio.StreamReader) -> None:
-        with contextlib.suppress(OSError):
-            while await reader.read(4096):
-                pass
+        assert self.link is not None
+        with contextlib.suppress(OSError, ValueError):
+            await self._listen_to(reader, self.link)
+        self._other_serves(self.link, False)
+        self.link = None
         self.report(ProcessesSeen(1))
         await self._listen()
 
+    def _other_serves(self, other: asyncio.StreamWriter, serves: bool) -> None:
+        before = bool(self.others_serving)
+        if serves:
+            self.others_serving.add(other)
+        else:
+            self.others_serving.discard(other)
+        if bool(self.others_serving) is not before:
+            self.report(OthersServing(not before))
+
+    async def _listen_to(self, reader: asyncio.StreamReader, other: asyncio.StreamWriter) -> None:
+        """Hears what the other process tells, until it ends."""
+        while line := await reader.readline():
+            match messages.read(line):
+                case messages.Serving(serves):
+                    self._other_serves(other, serves)
+                case messages.Bans(marks):
+                    self.report(MarksFound(marks, keep=True))
+
     async def _listen(self) -> None:
         try:
             with contextlib.suppress(FileNotFoundError):
                 os.unlink(self.path)  # a dead process's
-            self.server = await asyncio.start_unix_server(self._called, str(self.path))
+            self.server = await asyncio.start_unix_server(
+                self._called, str(self.path), limit=messages.LONGEST
+            )
         except OSError as bad:
             self.log(f"handover: no successor can ask this process: {bad}")
 
@@ -135,11 +178,13 @@
             if answer == record.STRANGER:
                 return
             self.report(ProcessesSeen(2))
-            while await reader.read(4096):
-                pass
+            if self.serving:
+                writer.write(messages.write(messages.Serving(True)))
+            await self._listen_to(reader, writer)
         except (OSError, TimeoutError, ValueError):
             pass  # it has gone, or says nothing
         finally:
+            self._other_serves(writer, False)
             self.callers.discard(writer)
             writer.close()
             if not self.callers:
--- /dev/null
+++ b/opalgauge/handover/messages.py
@@ -0,0 +1,52 @@
+"""What two processes of one ingress tell each other while both live: a line of JSON each. No I/O, no clock.
+
+A line that is not understood is passed over: the other process may be of another version.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+
+from opalgauge.memory.events import MaintMark
+from opalgauge.memory.marks import UnusableMarks, from_plain, to_plain
+
+LONGEST = 1 << 20  # bytes of a line; what is longer is not told
+
+
+@dataclass(frozen=True, slots=True)
+class Serving:
+    """Whether the sender accepts clients and goes on doing so: from when it is ready until it is to stop."""
+
+    serving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Bans:
+    """What staff have said of servers, as the sender knows it."""
+
+    marks: tuple[MaintMark, ...]
+
+
+Message = Serving | Bans
+
+
+def write(message: Message) -> bytes:
+    match message:
+        case Serving(serving):
+            told: dict[str, object] = {"serving": serving}
+        case Bans(marks):
+            told = {"bans": to_plain(marks)}
+    return json.dumps(told, separators=(",", ":")).encode() + b"\n"
+
+
+def read(line: bytes) -> Message | None:
+    try:
+        told = json.loads(line)
+        if not isinstance(told, dict):
+            return None
+        if isinstance(serving := told.get("serving"), bool):
+            return Serving(serving)
+        return Bans(from_plain(told["bans"])) if "bans" in told else None
+    except (UnusableMarks, ValueError, RecursionError):
+        return None
--- a/opalgauge/lifecycle/service.py
+++ b/opalgauge/lifecycle/service.py
@@ -148,12 +148,24 @@
     return link
 
 
+def tell_and_keep(link: Link, ban_file: BanFile | None) -> Callable[[fx.KeepMarks], None]:
+    """What staff say goes to the other process as well: guards a ban that cannot be written for now."""
+
+    def keep(effect: fx.KeepMarks) -> None:
+        if ban_file is not None:
+            ban_file.keep(effect)
+        link.tell_bans(effect.marks)
+
+    return keep
+
+
 async def serve(config: Config, source: Source, log: Log = plain) -> None:
     loop = asyncio.get_running_loop()
     over = asyncio.Event()
     clock = Clock()
     exchange = Exchange(Reducer(config.house), clock.now, NodeListReader(config.zones), log, over.set)
     ready = draining = False
+    link: Link | None = None
     clients = exchange.clients = Clients(config.trade, exchange.report, lambda: not draining)
     shared = config.listen_fd is not None  # another process may listen on it too
 
@@ -162,7 +174,9 @@
         if not draining:
             draining = clients.last = True
             # A descriptor that others could listen on is no proof that one does.
-            exchange.report(DrainAsked(successor=shared and exchange.reducer.books.processes > 1))
+            exchange.report(DrainAsked(successor=shared and exchange.reducer.has_successor()))
+            if link is not None:
+                link.tell_serving(False)
 
     def reload() -> None:
         """The addresses of the other parties may change in service, nothing else does."""
@@ -186,9 +200,9 @@
     if ban_file is not None:
         exchange.do[fx.KeepMarks] = ban_file.keep
     joined = join(config, config.peering, exchange, clock, log) if config.peering is not None else None
-    link = None
     if shared and config.scratch:
         link = await call_old_process(config, exchange, clock, log)
+        exchange.do[fx.KeepMarks] = tell_and_keep(link, ban_file)
     exchange.start()
     if link is not None:
         link.go_on(exchange.report)
@@ -210,6 +224,8 @@
         if not draining:  # guards clients against one that was asked to stop while it started
             await clients.listen(*config.listen, config.listen_fd)
             ready = True
+            if link is not None:
+                link.tell_serving(True)
             host, port = config.listen
             log(f"ready: {config.name} on {host}:{port}, {len(config.house.known)} stock nodes known")
         await over.wait()
--- a/opalgauge/memory/effects.py
+++ b/opalgauge/memory/effects.py
@@ -162,7 +162,12 @@
 
 @dataclass(slots=True)
 class StopAccepting:
-    """Accept no more clients; those that are here stay."""
+    """Accept no more clients for now; those that are here stay."""
+
+
+@dataclass(slots=True)
+class AcceptAgain:
+    """The other process takes no more clients: those that wait are accepted."""
 
 
 @dataclass(slots=True)
@@ -265,6 +270,7 @@
     | StopReading
     | WakeAt
     | StopAccepting
+    | AcceptAgain
     | CloseFront
     | AnswerStaff
     | KeepMarks
--- a/opalgauge/memory/events.py
+++ b/opalgauge/memory/events.py
@@ -282,7 +282,7 @@
 
 @dataclass(slots=True)
 class DrainAsked:
-    """The ingress is to stop: its answers close their connections.
+    """The process is to stop: its answers close their connections.
 
     `successor`: another process takes what comes from now on.
     """
@@ -310,6 +310,13 @@
     out: bool
 
 
+@dataclass(slots=True)
+class OthersServing:
+    """Whether another process of this ingress accepts clients, and goes on doing so."""
+
+    serving: bool
+
+
 @dataclass(slots=True)
 class ProcessesSeen:
     """So many processes of this ingress are at work: this one, and perhaps one before or after it."""
@@ -406,6 +413,7 @@
     | MarksFound
     | NodesEjected
     | ProcessesSeen
+    | OthersServing
     | MemoryHanded
     | ZoneJudged
     | CountTold
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -17,6 +17,7 @@
 from opalgauge.memory import events as ev
 from opalgauge.memory.drain import DrainSchedule, kill_after
 from opalgauge.memory.effects import Why
+from opalgauge.memory.marks import UnusableMarks, from_plain, to_plain
 from opalgauge.memory.state import (
     Attempt,
     Books,
@@ -90,6 +91,7 @@
             ev.MarksFound: self._marks_found,
             ev.NodesEjected: self._nodes_ejected,
             ev.ProcessesSeen: self._processes_seen,
+            ev.OthersServing: self._others_serving,
             ev.MemoryHanded: self._memory_handed,
             ev.GraceOver: lambda _: self._close_idle_clients(),
             ev.ZoneJudged: self._zone_judged,
@@ -1074,14 +1076,16 @@
         self.out.append(fx.AnswerStaff(event.call, True, f"{event.name} {now}"))
 
     def _marks_found(self, event: ev.MarksFound) -> None:
+        news = False
         for mark in event.marks:
             known = self.books.marks.get(mark.node)
             # Of two said at one instant the ban holds, in whatever order they come.
             if known is None or (known.at, known.out) < (mark.at, mark.out):
+                news = True
                 self._mark(mark)
                 if not event.keep:
                     self.out.append(fx.MarkMade(mark))
-        if event.keep:
+        if event.keep and news:  # two processes that keep what the other one tells would go on for ever
             self.out.append(fx.KeepMarks(tuple(self.books.marks.values())))
 
     def _nodes_ejected(self, event: ev.NodesEjected) -> None:
@@ -1108,6 +1112,21 @@
         """Guards ceilings: two processes side by side each have half of this ingress's part."""
         self.books.processes = event.processes
 
+    def has_successor(self) -> bool:
+        """Whether another process of this ingress takes the clients that connect from now on."""
+        return self.books.others_serving
+
+    def _others_serving(self, event: ev.OthersServing) -> None:
+        """Guards clients that connect while the last process is draining: nobody else would accept them."""
+        books = self.books
+        books.others_serving = event.serving
+        if event.serving or not books.draining or not books.successor:
+            return
+        books.successor = False
+        if not books.grace_over and not books.left:
+            self.out.append(fx.Log("drain: no other process takes clients any more; accepting again"))
+            self.out.append(fx.AcceptAgain())
+
     def _memory_handed(self, event: ev.MemoryHanded) -> None:
         try:
             snapshot.give(self.gateway, event.memory, self.now.timestamp())
@@ -1120,17 +1139,14 @@
 
     def bans(self) -> list[list[Any]]:
         """What staff have said of stock nodes, as plain values for the process after this one."""
-        return [[m.name, m.node, m.out, m.at.timestamp()] for m in self.books.marks.values()]
+        return to_plain(self.books.marks.values())
 
     def _bans_handed(self, told: Any) -> None:
         """Guards a ban that could not be written to the file, and is still owed to staff."""
         try:
-            marks = tuple(
-                ev.MaintMark(str(name), int(node), bool(out), datetime.fromtimestamp(float(at), UTC))
-                for name, node, out, at in told or ()
-            )
-        except (TypeError, ValueError, OverflowError, OSError) as bad:
-            self.out.append(fx.Log(f"handover: bans cannot be used: {type(bad).__name__}"))
+            marks = from_plain(told)
+        except UnusableMarks as bad:
+            self.out.append(fx.Log(f"handover: bans cannot be used: {bad}"))
             return
         if marks:
             self._marks_found(ev.MarksFound(marks, keep=True))
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -202,5 +202,6 @@
     draining: bool = False
     drain: DrainSchedule | None = None  # from then on
     successor: bool = False  # and another process takes what comes from now on
+    others_serving: bool = False  # another process of this ingress accepts clients
     grace_over: bool = False
     left: bool = False
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -270,9 +270,14 @@
         self.listener = Listener(listening, BACKLOG, self.server)
 
     def stop_accepting(self) -> None:
-        """No more connections. What waits in the kernel's queue stays there for whoever else listens."""
+        """No more connections for now. What waits in the kernel's queue stays there for whoever else listens
+        at the same socket."""
         if self.listener is not None:
-            self.listener.close()
+            self.listener.suspend()
+
+    def accept_again(self) -> None:
+        if self.listener is not None:
+            self.listener.resume()
 
     def stop_listening(self) -> None:
         """No more connections. Those that wait in the kernel's queue are taken in first.
@@ -281,8 +286,8 @@
         """
         if self.listener is not None and not self.shared:
             self.listener.close_when_empty()
-        else:
-            self.stop_accepting()
+        elif self.listener is not None:
+            self.listener.close()
 
     def _accepting(self) -> bool:
         """Whether a connection that came before listening stopped has not been seen yet."""
--- a/opalgauge/wire/exchange.py
+++ b/opalgauge/wire/exchange.py
@@ -73,6 +73,7 @@
             fx.RecallOrder: lambda _: None,
             fx.WakeAt: self._wake_at,
             fx.StopAccepting: lambda _: self.clients.stop_accepting() if self.clients else None,
+            fx.AcceptAgain: lambda _: self.clients.accept_again() if self.clients else None,
             # Answered and kept where there is an admin endpoint; `opalgauge.console` puts its own here.
             fx.AnswerStaff: lambda _: None,
             fx.KeepMarks: lambda _: None,
--- a/opalgauge/wire/listener.py
+++ b/opalgauge/wire/listener.py
@@ -36,7 +36,7 @@
         self.listening, self.taken = listening, taken
         self.listening.setblocking(False)
         self.loop = asyncio.get_running_loop()
-        self.closed = self.closing = False
+        self.closed = self.closing = self.suspended = False
         self.pause: asyncio.TimerHandle | None = None
         self._watch()
 
@@ -80,14 +80,31 @@
         if self.pause is None:
             self.pause = self.loop.call_later(PAUSE, self._watch)
 
+    def suspend(self) -> None:
+        """Accepts no more for now."""
+        if self.closed or self.closing:
+            return
+        self.suspended = True
+        self._cancel_pause()
+        self.loop.remove_reader(self.listening.fileno())
+
+    def resume(self) -> None:
+        if self.suspended and not self.closed:
+            self.suspended = False
+            self._watch()
+
+    def _cancel_pause(self) -> None:
+        if self.pause is not None:
+            self.pause.cancel()
+            self.pause = None
+
     def close(self) -> None:
         """Accepts no more. What waits in the kernel's queue is left to whoever else listens at the socket,
         or reset with it."""
         if self.closed:
             return
         self.closed = True
-        if self.pause is not None:
-            self.pause.cancel()
+        self._cancel_pause()
         self.loop.remove_reader(self.listening.fileno())
         self.listening.close()
 
@@ -130,6 +147,12 @@
             with contextlib.suppress(OSError):
                 accepted.close()
 
+    def suspend(self) -> None:
+        self.acceptor.suspend()
+
+    def resume(self) -> None:
+        self.acceptor.resume()
+
     def close(self) -> None:
         self.acceptor.close()
 
--- a/opalgauge/wire/recorder.py
+++ b/opalgauge/wire/recorder.py
@@ -55,6 +55,7 @@
     ev.AnswerFlows: _kind("connection {} answers at length", "line"),
     ev.FlowOver: _kind("request {}: long answer over, whole {}", "order", "whole"),
     ev.ProcessesSeen: _kind("{} processes of this ingress", "processes"),
+    ev.OthersServing: _kind("another process of this ingress accepts clients: {}", "serving"),
     ev.NodeListAnswered: _kind("node list version {}", "version"),
     ev.DrainAsked: _kind("asked to stop, successor {}", "successor"),
     fx.OpenLine: _kind("connection {} to {} {}", "line", "party", "address"),
@@ -65,6 +66,7 @@
     fx.AbortClient: _kind("client {} cut off", "client"),
     fx.StopReading: _kind("bodies that have not come are answered"),
     fx.StopAccepting: _kind("no more connections, another process takes them"),
+    fx.AcceptAgain: _kind("connections are accepted again"),
     fx.CloseFront: _kind("no more connections"),
     fx.Leave: _kind("leaving"),
 }  # fmt: skip
--- a/tests/kill_scene.py
+++ b/tests/kill_scene.py
@@ -121,8 +121,9 @@
 class Scene:
     """An ingress with clients on connections that it has proven to hold."""
 
-    def __init__(self, ingress: harness.Ingress, deadline: float) -> None:
+    def __init__(self, ingress: harness.Ingress, deadline: float, parties: tuple[Any, ...]) -> None:
         self.ingress, self.deadline = ingress, deadline
+        self.parties = parties  # by which another process of the same ingress is started
         self.clients: dict[str, Client] = {}
 
     async def connect(self, *names: str) -> None:
@@ -167,4 +168,4 @@
             parties = node_at, quota_at, list_at, shared, scratch, 0, settings(deadline)
             async with harness.ingress(*parties) as ingress:
                 second = harness.ingress(*parties) if successor else contextlib.nullcontext()
-                yield Scene(ingress, deadline), second
+                yield Scene(ingress, deadline, parties), second
--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -75,7 +75,7 @@
         async with scene() as here:
             here.exchange.do[fx.Log] = fails
             here.exchange.report(ev.DrainAsked(successor=True))  # logs, then accepts no more
-            assert here.clients.listener is not None and here.clients.listener.acceptor.closed
+            assert here.clients.listener is not None and here.clients.listener.acceptor.suspended
             assert here.log == ["fault: Log: OSError('cannot be written')"]
 
     play(play_it)
