Draw keyed classes, long bodies and answers, and abandoned upgrades in the soak

Servers of the soak know keys for a class's window, in a zone or all of them; the checker calls a keyed request that ran again 'doubled', with a wrong record as its test. 2% of the bodies have up to 300 KB and 2% of the answers up to 1 MB. In an abandoned upgrade the new process is asked to stop up to 0.4 s after the old one.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -57,14 +57,15 @@
 
 
 def doubled(records: Records) -> Iterator[Broken]:
-    """What must not run twice does not, and no second copy is out beside a first."""
+    """What must not run twice does not, and no second copy is out beside a first. What has a key runs again
+    where the second server doesn't know the key, or has forgotten it."""
     effects = {request.name: request.effect for request in records.requests}
     for name, attempts in _by_name(records).items():
         if name not in effects:
             yield Broken("unknown", f"a server got what no client sent: {name} {attempts}")
             continue
         ran = [a for a in attempts if a.ran]
-        if effects[name] is Effect.UNSAFE and len(ran) > 1:
+        if effects[name] is not Effect.SAFE and len(ran) > 1:
             yield Broken("doubled", f"{name} {attempts}")
         ordered = sorted(attempts, key=lambda a: a.whole)
         for first, second in zip(ordered, ordered[1:], strict=False):
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -12,13 +12,15 @@
 
 from tests.soak.checker import LATE
 from tests.soak.deployment import UNITS_TOP, Deployment, RequestClass
-from tests.soak.records import End, RequestRecord
+from tests.soak.records import Effect, End, RequestRecord
 
 LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
 LEAVES = 0.06  # of the requests: the client leaves before its answer
 SLOW_WRITER = 0.03  # of the requests: written in two parts
 ACCOUNTS = 40
 SPARE = 1.0  # s beyond the time after which an answer is lost: it may still tell that it came late
+LONG_BODIES = 0.02  # of the bodies
+MOST_LONG = 300_000  # bytes
 REST = 0.05  # s between the parts of a request that is written slowly
 
 
@@ -87,13 +89,15 @@
 
     def _bytes(self, name: str, kind: RequestClass) -> bytes:
         method = "GET" if kind.effect.value == "retryable" else "POST"
-        body = b"" if method == "GET" else b"x" * self.rng.randint(0, 2000)
+        most = MOST_LONG if self.rng.random() < LONG_BODIES else 2000
+        body = b"" if method == "GET" else b"x" * self.rng.randint(0, most)
+        key = f"Idempotency-Key: {name}\r\n" if kind.effect is Effect.KEYED else ""
         instances = self.deployment.instances
         head = (
             f"{method} /{kind.name} HTTP/1.1\r\nHost: soak\r\nX-Correlation-Id: {name}\r\nX-Tier: basic\r\n"
             f"Cookie: customer={self.rng.randrange(ACCOUNTS):016x}\r\nX-Time-Left: {kind.deadline:.3f}\r\n"
             f"X-Call-Terms: units={self.rng.randint(1, UNITS_TOP)},spread={instances},first=0\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n"
+            f"{key}Content-Length: {len(body)}\r\n\r\n"
         )
         return head.encode() + body
 
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -20,6 +20,14 @@
     effect: Effect
     aim: float
     deadline: float
+    window: float = 0.0  # s for which servers know a key
+    by_zone: bool = False  # only those of one zone know each other's keys
+
+    def settings(self) -> dict[str, Any]:
+        return {
+            "name": self.name, "aim": self.aim, "deadline": self.deadline, "credit": 2.0,
+            "effect": self.effect.value, "window": self.window, "group": "zone" if self.by_zone else "all",
+        }  # fmt: skip
 
 
 @dataclass(frozen=True)
@@ -41,11 +49,7 @@
         limits = self.limits
         return {
             "balancers": self.instances, "me": me, "tick": 0.002, "zone": 0, "zones": list(ZONES),
-            "classes": [
-                {"name": c.name, "aim": c.aim, "deadline": c.deadline, "credit": 2.0,
-                 "effect": c.effect.value}
-                for c in self.classes
-            ],
+            "classes": [one.settings() for one in self.classes],
             "tiers_of_service": [
                 {"name": "basic", "quota_rate": 10_000.0, "most_at_once": 50_000.0, "pays": 1.0}
             ],
@@ -66,7 +70,8 @@
     for n in range(rng.randint(2, 5)):
         deadline = longest if n == 0 else rng.uniform(0.4, 1.0) * longest
         effect = Effect.UNSAFE if n == 0 else rng.choice(list(Effect))
-        classes.append(RequestClass(f"class-{n}", effect, deadline / rng.uniform(2.5, 5.0), deadline))
+        aim, window = deadline / rng.uniform(2.5, 5.0), rng.choice([0.3, 1.0, 8.0])
+        classes.append(RequestClass(f"class-{n}", effect, aim, deadline, window, rng.random() < 0.5))
     servers = MANY_SERVERS if rng.random() < 0.1 else rng.randint(4, 10)
     capacity = rng.uniform(15.0, 30.0)
     instances = rng.randint(1, 4)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -14,6 +14,7 @@
     """What it means if a request of a class runs twice."""
 
     SAFE = "retryable"
+    KEYED = "dedup"
     UNSAFE = "fragile"
 
 
@@ -52,7 +53,7 @@
     began: float  # its first byte
     whole: float
     time_left: float  # as the ingress told it
-    ran: bool  # False: turned away unprocessed
+    ran: bool  # False: turned away unprocessed, or dropped as a repeat whose key is known
     ended: float = math.inf  # answered, or its connection ended
 
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -22,7 +22,7 @@
 from tests.soak.deployment import LENGTH, ZONES, Deployment, draw
 from tests.soak.processes import Instance
 from tests.soak.records import End, Records, ServerRecord
-from tests.soak.standins import Counter, Discovery, Mode, Server
+from tests.soak.standins import Counter, Discovery, Keys, Mode, Server
 
 CROWD = 300  # idle connections to each instance: more than it holds
 STEP = 1.2  # s between draws of faults; each lasts for two to three of them, so that two overlap at least
@@ -53,6 +53,7 @@
         self.began = time.monotonic()
         self.records = Records(deployment.limits)
         self.servers: list[Server] = []
+        self.keys = Keys(deployment.classes)
         self.agents: list[Discovery] = []
         self.instances: list[Instance] = []
         self.clients: list[Clients] = []
@@ -68,7 +69,7 @@
         number = len(self.servers) + 1
         record = ServerRecord(number, self.deployment.capacity, started)
         self.records.servers.append(record)
-        server = Server(number, record, self.records.attempts, self.now, self.rng)
+        server = Server(number, record, self.records.attempts, self.now, self.rng, self.keys)
         await server.open()
         self.servers.append(server)
         return server
@@ -188,6 +189,8 @@
             elif instance.listener is not None:
                 if choice < 0.3:
                     await instance.failed_upgrade(self.rng.uniform(0.0, 0.6))
+                elif choice < 0.5:
+                    await instance.abandoned_upgrade(self.rng.uniform(0.0, 0.4))
                 else:
                     await instance.upgrade()
             else:
--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -12,15 +12,19 @@
 from enum import Enum
 from typing import Any, cast
 
-from tests.soak.records import AttemptRecord, ServerRecord
+from tests.soak.deployment import ZONES, RequestClass
+from tests.soak.records import AttemptRecord, Effect, ServerRecord
 
 IDENTITY = re.compile(rb"x-correlation-id: *(\S+)", re.IGNORECASE)
 TIME_LEFT = re.compile(rb"x-time-left: *([0-9.]+)", re.IGNORECASE)
 LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
+KEY = re.compile(rb"idempotency-key: *(\S+)", re.IGNORECASE)
 UNPROCESSED = b"HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
 BUSY = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 HALF = b"HTTP/1.1 200 OK\r\nContent-Length: 64\r\n\r\nhalf"
 SLOW = 1.2  # s
+LONG_ANSWERS = 0.02  # of the answers
+MOST_LONG = 1_000_000  # bytes
 DELIVERED = 0.1  # s after which what was written has been read
 
 Clock = Callable[[], float]
@@ -102,6 +106,26 @@
         raise NotImplementedError
 
 
+class Keys:
+    """The keys that servers know of each other, within a zone or all of them, each for its class's window."""
+
+    def __init__(self, classes: tuple[RequestClass, ...]) -> None:
+        self.classes = {one.name: one for one in classes}
+        self.first: dict[tuple[bytes, int], float] = {}
+
+    def known(self, head: bytes, zone: int, now: float) -> bool:
+        """Whether a request is a repeat that is dropped; otherwise its key is known from now on."""
+        kind = self.classes[head.split(b" ", 2)[1].decode().removeprefix("/")]
+        key = KEY.search(head)
+        if kind.effect is not Effect.KEYED or key is None:
+            return False
+        place = (key[1], zone if kind.by_zone else -1)
+        if now - self.first.get(place, -math.inf) < kind.window:
+            return True
+        self.first[place] = now
+        return False
+
+
 class Mode(Enum):
     """What a server does with a request."""
 
@@ -117,10 +141,16 @@
     """An upstream server."""
 
     def __init__(
-        self, number: int, record: ServerRecord, attempts: list[AttemptRecord], now: Clock, rng: random.Random
+        self,
+        number: int,
+        record: ServerRecord,
+        attempts: list[AttemptRecord],
+        now: Clock,
+        rng: random.Random,
+        keys: Keys,
     ) -> None:
         super().__init__(now)
-        self.number, self.record, self.attempts, self.rng = number, record, attempts, rng
+        self.number, self.record, self.attempts, self.rng, self.keys = number, record, attempts, rng, keys
         self.mode = Mode.SERVE
 
     def asked(self, peer: Peer, head: bytes) -> None:
@@ -128,14 +158,16 @@
         now = self.now()
         attempt = AttemptRecord(
             identity[1].decode() if identity else "", self.number, peer.began, now,
-            float(left[1]) if left else math.inf, self.mode is not Mode.TURN_AWAY,
+            float(left[1]) if left else math.inf,
+            self.mode is not Mode.TURN_AWAY and not self.keys.known(head, self.number % len(ZONES), now),
         )  # fmt: skip
         self.attempts.append(attempt)
         peer.open_attempts.append(attempt)
         loop = asyncio.get_running_loop()
         took = self.rng.expovariate(2 * self.record.capacity)
         if self.mode is Mode.SERVE:
-            loop.call_later(took, peer.say, answer(attempt.name.encode()))
+            long = self.rng.randint(100_000, MOST_LONG) if self.rng.random() < LONG_ANSWERS else 0
+            loop.call_later(took, peer.say, answer(attempt.name.encode() + b"l" * long))
         elif self.mode is Mode.SLOW:
             loop.call_later(SLOW + took, peer.say, answer(attempt.name.encode()))
         elif self.mode is Mode.RESET:
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tests.soak.checker import at_the_kill, budget, judge, kill_after
-from tests.soak.deployment import draw
+from tests.soak.deployment import RequestClass, draw
 from tests.soak.records import (
     AttemptRecord,
     Effect,
@@ -20,6 +20,7 @@
     RequestRecord,
     ServerRecord,
 )
+from tests.soak.standins import Keys
 
 LIMITS = Limits(3.0, 16.0, 0.2, 1.5, 2.5, 2.0, 512, 128.0)
 
@@ -66,6 +67,11 @@
     r.attempts.append(AttemptRecord("a", 2, 1.3, 1.3, 1.6, True, 1.4))
 
 
+def repeats_what_a_server_does_not_know(r: Records) -> None:
+    r.requests[0] = replace(r.requests[0], effect=Effect.KEYED)
+    r.attempts.append(AttemptRecord("a", 2, 1.3, 1.3, 1.6, True, 1.4))
+
+
 def sends_a_second_copy(r: Records) -> None:
     r.requests[0] = replace(r.requests[0], effect=Effect.SAFE)
     r.attempts.append(AttemptRecord("a", 2, 1.1, 1.1, 1.6, True, 1.4))
@@ -125,6 +131,7 @@
 WRONG: list[tuple[Callable[[Records], None], str]] = [
     (loses, "lost"), (never_ends, "lost"), (closes_what_it_sent_on, "lost"), (is_late, "late"),
     (runs_it_twice, "doubled"), (sends_a_second_copy, "second copy"), (makes_one_up, "unknown"),
+    (repeats_what_a_server_does_not_know, "doubled"),
     (refuses_what_ran, "refused"), (sends_on_for_one_that_left, "gone"), (tells_too_much_time, "deadline"),
     (sends_to_a_drained_one, "drain"), (overfeeds_a_cold_one, "slow start"), (crashes, "crash"),
     (ends_with_a_failure, "crash"), (is_never_ready, "not ready"), (tells_of_a_defect, "defect"),
@@ -154,6 +161,18 @@
     assert budget(1.0, 20.0, LIMITS) == pytest.approx(75 + 2 * math.sqrt(75) + 2)
 
 
+def test_servers_drop_a_repeat_whose_key_they_know() -> None:
+    everywhere = RequestClass("a", Effect.KEYED, 0.5, 2.0, window=1.0)
+    nearby = RequestClass("b", Effect.KEYED, 0.5, 2.0, window=1.0, by_zone=True)
+    never = RequestClass("c", Effect.UNSAFE, 0.5, 2.0, window=1.0)
+    keys = Keys((everywhere, nearby, never))
+    told = [b"POST /%b HTTP/1.1\r\nIdempotency-Key: k-%b" % (name, name) for name in (b"a", b"b", b"c")]
+    assert [keys.known(head, 0, 5.0) for head in told] == [False, False, False]
+    assert [keys.known(head, 1, 5.9) for head in told] == [True, False, False]
+    assert [keys.known(head, 0, 5.9) for head in told] == [True, True, False]
+    assert [keys.known(head, 0, 6.0) for head in told] == [False, False, False]
+
+
 def test_a_seed_draws_the_same_deployment_again() -> None:
     drawn = [draw(seed) for seed in range(40)]
     assert drawn == [draw(seed) for seed in range(40)]
