Call the leases' package by its name and split it by concern

Say, Note, Tell, Spent, Call, pace, gave and got are SendMessage, LogLine, TellTotal, ReportUse, CallCounter, demand, granted and received; BEAT, SOON and FEW are HEARTBEAT, LEAST_PAUSE and SMALL_FLEET. Tests, the lab's world and the design page are named alike.

--- a/opalgauge/lab/shares.py
+++ b/opalgauge/lab/leases.py
@@ -12,8 +12,9 @@
 
 from opalgauge.lab.quotas import TARIFFS, Load, Share, Tariff, Verdict, by_tariff, replay
 from opalgauge.lab.simulation import EPOCH, Simulation
-from opalgauge.shares import messages
-from opalgauge.shares.lease import Call, Leases, Rules, Say, Tell
+from opalgauge.leases import messages
+from opalgauge.leases.actions import CallCounter, SendMessage, TellTotal
+from opalgauge.leases.holder import Leases, Rules
 from starlinggap import Gateway
 from starlinggap import interface as i
 
@@ -168,19 +169,19 @@
     def _act(self, me: int) -> None:
         leases = self.leases[me]
         for action in leases.take() if leases is not None else ():
-            if isinstance(action, Tell):  # in the order of the asks, as events are taken
+            if isinstance(action, TellTotal):  # in the order of the asks, as events are taken
                 counted = i.Counted(action.name, action.took.total_seconds(), action.end, action.total)
                 self._at(self.now, self._told, me, self.life[me], counted)
-            elif isinstance(action, Call):
+            elif isinstance(action, CallCounter):
                 self._call(me, action.token, action.name, action.amount, action.life.total_seconds())
-            elif isinstance(action, Say):
+            elif isinstance(action, SendMessage):
                 self._say(me, action)
 
     def _told(self, me: int, life: int, counted: i.Counted) -> None:
         if life == self.life[me]:
             self._give(me, counted)
 
-    def _say(self, me: int, action: Say) -> None:
+    def _say(self, me: int, action: SendMessage) -> None:
         data = messages.write(action.message)
         self.seen.longest_word = max(self.seen.longest_word, len(data))
         apart = self.s.groups and self.s.groups[me] != self.s.groups[action.peer]
--- a/opalgauge/lab/quotas.py
+++ b/opalgauge/lab/quotas.py
@@ -174,7 +174,7 @@
 class Bound:
     """What leases promise of a tariff's accounts in `span` seconds without the counter, in percent.
 
-    The terms are those of `docs/design/shares.md`.
+    The terms are those of `docs/design/leases.md`.
     """
 
     overshoot: float
--- /dev/null
+++ b/opalgauge/leases/actions.py
@@ -0,0 +1,57 @@
+"""What the lease holder wants done: totals told, calls of the quota counter, messages, log lines, reports."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+
+from opalgauge.leases.messages import Message
+from starlinggap import interface as i
+
+
+@dataclass(frozen=True, slots=True)
+class TellTotal:
+    """One ask's answer. `took`: since it was asked. `end`: not `OK` where nobody can tell a total."""
+
+    name: int
+    total: float
+    took: timedelta
+    end: i.End = i.End.OK
+
+
+@dataclass(frozen=True, slots=True)
+class CallCounter:
+    """The counter is to be called; `counted` brings what comes of it under this token."""
+
+    token: int
+    name: int
+    amount: float
+    life: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class SendMessage:
+    """A message to another ingress, which may be lost on the way."""
+
+    peer: int
+    message: Message
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """A line for the log."""
+
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReportUse:
+    """This ingress has spent so many units more of an account that comes near its quota, in a window."""
+
+    account: int
+    window: int
+    over: datetime
+    units: float
+
+
+Action = TellTotal | CallCounter | SendMessage | LogLine | ReportUse
--- a/opalgauge/shares/channel.py
+++ b/opalgauge/leases/channel.py
@@ -1,4 +1,4 @@
-"""The edge of `opalgauge.shares`: between the reducer, the quota counter's calls and the peers."""
+"""The edge of `opalgauge.leases`: between the reducer, the quota counter's calls and the peers."""
 
 from __future__ import annotations
 
@@ -6,10 +6,11 @@
 from collections.abc import Callable
 from datetime import datetime
 
+from opalgauge.leases import messages
+from opalgauge.leases.actions import CallCounter, LogLine, ReportUse, SendMessage, TellTotal
+from opalgauge.leases.holder import Leases, Rules
 from opalgauge.memory.effects import AccountMet, CountAsked, CountHeard
 from opalgauge.memory.events import CountTold, CountWanted, Event
-from opalgauge.shares import messages
-from opalgauge.shares.lease import Call, Leases, Note, Rules, Say, Spent, Tell
 from opalgauge.wire.peers import Peers
 
 ROUND = 0.02  # s between steps
@@ -66,15 +67,15 @@
     def _act(self) -> None:
         for action in self.leases.take():
             match action:
-                case Tell(name, total, took, end):
+                case TellTotal(name, total, took, end):
                     self.report(CountTold(name, total, took, end))
-                case Call(token, name, amount, life):
+                case CallCounter(token, name, amount, life):
                     self.report(CountWanted(token, name, amount, life))
-                case Say(peer, message):
+                case SendMessage(peer, message):
                     self.wire.send(messages.write(message, self.secret), peer)
-                case Spent(account, window, over, units):
+                case ReportUse(account, window, over, units):
                     self.spent(account, window, over, units)
-                case Note(text):
+                case LogLine(text):
                     self.log(text)
 
     def figures(self) -> list[str]:
--- a/opalgauge/shares/lease.py
+++ b/opalgauge/leases/holder.py
@@ -1,6 +1,7 @@
 """The quota counter as one ingress sees it, near or cut off. No I/O, no clock.
 
-The decisions ask for counts (`asked`) and are told totals (`Tell`), each name's in the order of its asking.
+The decisions ask for counts (`asked`) and are told totals (`TellTotal`), those of a name in the order of its
+asking.
 
 - While the counter answers, a busy account's units are charged ahead (a lease), within a part of what is
   free. What is spent of a lease needs no call, and what is handed back goes into it: no call either.
@@ -10,38 +11,39 @@
   gives has them no more, so a message that is lost loses rights only.
 - Who has the counter leaves out the parts of those that have not, or are not heard.
 
-The error of all that is stated in `docs/design/shares.md`.
+The error of all that is stated in `docs/design/leases.md`.
 """
 
 from __future__ import annotations
 
 import math
 import random
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
 
-from opalgauge.shares.counter_health import LATE, CounterHealth
-from opalgauge.shares.messages import MOST_GRANTS, MOST_NEEDS, Grant, Message, Need
+from opalgauge.leases.accounts import Account, Ask, Peer, Window
+from opalgauge.leases.actions import Action, CallCounter, LogLine, ReportUse, SendMessage, TellTotal
+from opalgauge.leases.counter_health import LATE, CounterHealth
+from opalgauge.leases.messages import MOST_GRANTS, MOST_NEEDS, Grant, Message, Need
 from starlinggap import interface as i
 from starlinggap.quota import counter_name
 
 NOTHING = timedelta(0)
-JUST = timedelta(milliseconds=150)  # a total so old tells that there is no room
-FRESH = timedelta(milliseconds=300)  # a total so old is read anew; of a window that is over: SETTLED
+JUST_READ = timedelta(milliseconds=150)  # a total so old tells that there is no room
+RECENTLY_READ = timedelta(milliseconds=300)  # a total so old is read anew; of a window that is over: SETTLED
 SETTLED = timedelta(seconds=1)
 TERM = timedelta(seconds=2)  # a lease is for the use of so long, and handed back when idle as long
-PACE = 2.0  # s over which it is reckoned what is asked for
 PART = 0.5  # of what is free, over all ingresses of the account: what leases may hold of it
 CONTESTED = 0.4  # of its quota: below, nobody misses what is left of a lease
 LEAST = 1.0  # requests expected within a term, below which a lease saves nothing
 UNKNOWN = 0.5  # of its quota: what an account not met before the cut is thought to have used
 RESERVED = timedelta(seconds=30)  # an ingress that is not heard is left its part for so long
 MESSAGE_LIFE = timedelta(milliseconds=1500)
-BEAT = timedelta(milliseconds=400)  # between messages that only say that one lives
-SOON = timedelta(milliseconds=80)  # between messages to one peer
-FEW = 12  # ingresses: with more of them, silence says nothing, as nobody can speak to all
+HEARTBEAT = timedelta(milliseconds=400)  # between messages that only say that one lives
+LEAST_PAUSE = timedelta(milliseconds=80)  # between messages to one peer
+SMALL_FLEET = 12  # ingresses: with more of them, silence says nothing, as nobody can speak to all
 SPARE = 0.7  # of what an ingress has no use for itself, given to one that asks
 REPEATS = 3  # times that a grant is said
 NEED_LIFE = timedelta(milliseconds=800)
@@ -63,126 +65,6 @@
     grants: bool = True
 
 
-@dataclass(frozen=True, slots=True)
-class Tell:
-    """One ask's answer. `took`: since it was asked. `end`: not `OK` where nobody can tell a total."""
-
-    name: int
-    total: float
-    took: timedelta
-    end: i.End = i.End.OK
-
-
-@dataclass(frozen=True, slots=True)
-class Call:
-    """The counter is to be called; `counted` brings what comes of it under this token."""
-
-    token: int
-    name: int
-    amount: float
-    life: timedelta
-
-
-@dataclass(frozen=True, slots=True)
-class Say:
-    peer: int
-    message: Message
-
-
-@dataclass(frozen=True, slots=True)
-class Note:
-    text: str
-
-
-@dataclass(frozen=True, slots=True)
-class Spent:
-    """This ingress has spent so many units more of an account that comes near its quota, in a window."""
-
-    account: int
-    window: int
-    over: datetime
-    units: float
-
-
-Action = Tell | Call | Say | Note | Spent
-
-
-@dataclass(slots=True)
-class Ask:
-    name: int
-    amount: float
-    at: datetime
-
-
-@dataclass(slots=True)
-class Window:
-    """An account's count in one window. Units; `charged` and `spent` are this ingress's own.
-
-    Where it is `alone`: `before` was used by all when it began to be, `used` here since, `rights` are left.
-    """
-
-    account: Account
-    number: int
-    name: int
-    life: timedelta
-    total: float | None = None  # the counter's, as last heard
-    fresh: datetime | None = None
-    charged: float = 0.0
-    spent: float = 0.0
-    alone: bool = False
-    before: float = 0.0
-    used: float = 0.0
-    rights: float = 0.0
-    last: float = 0.0  # what was told last
-    # While others are left their parts: their share, and from where on what is seen stands for more.
-    kept: float = 0.0
-    base_told: float = 0.0
-    base_seen: float = 0.0
-    asks: deque[Ask] = field(default_factory=deque)
-    token: int = 0  # of the call that is out
-    out: float = 0.0  # what it adds
-    reported: float = 0.0  # of what was spent, told as `Spent`
-    pending: float = 0.0  # charged by calls since the total was heard: out, or never answered
-    gave: dict[tuple[int, int], float] = field(default_factory=dict)  # by peer and its life, in all
-    got: dict[tuple[int, int], float] = field(default_factory=dict)
-
-    @property
-    def held(self) -> float:
-        return self.charged - self.spent
-
-    @property
-    def seen(self) -> float:
-        """What all have spent as far as the counter's total tells, leases of this ingress left out."""
-        return max(0.0, (self.total or 0.0) + self.pending - self.held)
-
-
-@dataclass(slots=True)
-class Account:
-    """One trade account at this ingress. `pace`: units a second that it spends here, lately."""
-
-    number: int
-    tariff: int
-    first: int
-    spread: int
-    limit: float
-    length: float
-    windows: dict[int, Window] = field(default_factory=dict)
-    pace: float = 0.0
-    paced: datetime | None = None
-    last: datetime | None = None  # when it last spent
-    need_until: datetime | None = None
-
-
-@dataclass(slots=True)
-class Peer:
-    life: int = -1
-    number: int = -1
-    down: bool = False
-    heard: datetime | None = None
-    said: datetime | None = None
-    grants: list[tuple[Grant, int]] = field(default_factory=list)  # and how often each is still to be said
-
-
 class Leases:
     """One ingress's leases and rights. `life`: larger at each start of this ingress."""
 
@@ -219,7 +101,7 @@
             self._open(known, int(self.now.timestamp() // known.length))
 
     def asked(self, name: int, amount: float, life: timedelta, now: datetime) -> None:
-        """The decisions ask for a count. Each ask is answered by one `Tell`."""
+        """The decisions ask for a count. Each ask is answered by one `TellTotal`."""
         self.now = max(self.now, now)
         self.asks += 1
         window = self.names.get(name)
@@ -237,12 +119,12 @@
         answered = end is i.End.OK and math.isfinite(total)
         if answered:
             if self.counter.answered(token, self.now):
-                self.out.append(Note("counter: answers again"))
+                self.out.append(LogLine("counter: answers again"))
         elif self.counter.failed(token, self.now):
             self._miss()
         if isinstance(about, Ask):
             took = self.now - about.at
-            told = Tell(about.name, total, took) if answered else Tell(about.name, 0.0, took, end)
+            told = TellTotal(about.name, total, took) if answered else TellTotal(about.name, 0.0, took, end)
             self.out.append(told)
         elif isinstance(about, Window) and about.token == token:
             about.token = 0
@@ -381,7 +263,7 @@
             units = window.spent - window.reported
             if units >= LEAST:
                 window.reported = window.spent
-                self.out.append(Spent(account.number, window.number, self._over(window), units))
+                self.out.append(ReportUse(account.number, window.number, self._over(window), units))
 
     def _told(self, window: Window) -> float:
         """The total, as far as this ingress can know it, what it holds ahead left out."""
@@ -419,7 +301,7 @@
             if peer is None or peer.heard is None:
                 continue  # this one, or one that has never been heard: there may be none
             silent = self.now - peer.heard
-            unheard = silent > MESSAGE_LIFE and self.rules.ingresses <= FEW
+            unheard = silent > MESSAGE_LIFE and self.rules.ingresses <= SMALL_FLEET
             away += silent < RESERVED and (peer.down or unheard)
         return min(0.95, away * self._part(account))
 
@@ -445,7 +327,7 @@
             # and the decisions would take that use of others for gone for good.
             now = before + ask.amount if window.alone and ask.amount > 0 else self._told(window)
             window.last = max(least, now)
-            self.out.append(Tell(window.name, window.last, NOTHING))
+            self.out.append(TellTotal(window.name, window.last, NOTHING))
 
     def _covers(self, window: Window, ask: Ask) -> bool:
         """Whether no call is needed: it hands back, is paid for by a lease, or reads what is fresh."""
@@ -456,14 +338,14 @@
             return window.total is not None and (paid or self._full(window, ask.amount))
         over = (window.number + 1) * window.account.length <= self.now.timestamp()
         age = self.now - window.fresh if window.fresh is not None else None
-        return age is not None and age <= (SETTLED if over else FRESH)
+        return age is not None and age <= (SETTLED if over else RECENTLY_READ)
 
     def _full(self, window: Window, amount: float) -> bool:
         """Whether a total that was just heard leaves no room for it: that is told without a call.
 
         Where the decisions let it in all the same, it is charged soon after.
         """
-        if window.fresh is None or self.now - window.fresh > JUST or window.token:
+        if window.fresh is None or self.now - window.fresh > JUST_READ or window.token:
             return False
         return self._used(window) + amount > window.account.limit
 
@@ -471,7 +353,7 @@
         """Of both windows, weighted as the decisions do."""
         before, used = window.account.windows.get(window.number - 1), self._told(window)
         if before is not None:
-            used += self._told(before) * self._left(window) / window.account.length
+            used += self._told(before) * window.seconds_left(self.now) / window.account.length
         return used
 
     def _spend(self, window: Window, amount: float) -> None:
@@ -480,30 +362,15 @@
         if amount:
             self.dirty[account.number] = account
         if amount > 0:
-            account.pace = self._pace(account) + amount / PACE
-            account.paced = account.last = self.now
+            account.spend(amount, self.now)
         if window.alone:
             window.rights -= amount
             window.used += amount
-            if amount > 0 and self.rules.grants and self._use(window) > window.rights:
+            if amount > 0 and self.rules.grants and window.expected_use(self.now) > window.rights:
                 # What will not do until the window is over is asked of the others before it is gone.
                 account.need_until = self.now + NEED_LIFE
                 self.wanting[account.number] = account
 
-    def _pace(self, account: Account) -> float:
-        """Units a second that are asked for here, of late."""
-        if account.paced is None:
-            return 0.0
-        return account.pace * math.exp(-(self.now - account.paced).total_seconds() / PACE)
-
-    def _left(self, window: Window) -> float:
-        """Seconds until it is over."""
-        return max(0.0, (window.number + 1) * window.account.length - self.now.timestamp())
-
-    def _use(self, window: Window) -> float:
-        """Units that will be asked for here until it is over."""
-        return self._pace(window.account) * self._left(window)
-
     def _charge(self, window: Window) -> None:
         """One call for all that waits, what was spent alone, and a lease ahead where the account is busy."""
         wanted = sum(a.amount for a in window.asks if a.amount > 0)
@@ -518,9 +385,9 @@
     def _ahead(self, window: Window, each: float) -> float:
         """Units to hold for the next requests: whole ones of that size, within a part of what is free."""
         account = window.account
-        if not self.rules.ahead or account.paced is None:
+        if not self.rules.ahead or account.demand_at is None:
             return 0.0
-        pace, left = self._pace(account), self._left(window)
+        pace, left = account.demand_rate(self.now), window.seconds_left(self.now)
         free = PART * max(0.0, account.limit - self._used(window)) * self._part(account)
         count = min(pace * min(TERM.total_seconds(), left), free) // each
         return count * each if count >= LEAST else 0.0
@@ -530,7 +397,7 @@
         self.calls += 1
         self.tokens[self.token] = about
         self.counter.called(self.token, self.now)
-        self.out.append(Call(self.token, name, amount, life))
+        self.out.append(CallCounter(self.token, name, amount, life))
         return self.token
 
     def _next(self) -> None:
@@ -543,7 +410,7 @@
     # --- the counter ---------------------------------------------------------------------------------------
     def _miss(self) -> None:
         if self.counter.missed(self.now):
-            self.out.append(Note("counter: not answering; deciding by rights"))
+            self.out.append(LogLine("counter: not answering; deciding by rights"))
             for account in list(self.accounts.values()):
                 for window in account.windows.values():
                     self._leave(window)
@@ -578,7 +445,7 @@
         """Whether it owes units since a total that was heard so lately that a call for them can wait."""
         if self.counter.in_trouble or window.fresh is None:
             return False
-        return window.held < -1e-6 and self.now - window.fresh < JUST
+        return window.held < -1e-6 and self.now - window.fresh < JUST_READ
 
     # --- messages -----------------------------------------------------------------------------------------
     def _needed(self, peer: int, life: int, need: Need) -> None:
@@ -592,14 +459,14 @@
         if need.window != number % 256:
             return
         window = self._open(account, number)
-        units = min(need.units, SPARE * (window.rights - self._use(window))) // 0.1 * 0.1
+        units = min(need.units, SPARE * (window.rights - window.expected_use(self.now))) // 0.1 * 0.1
         if not window.alone or units < 0.5:
             return
         key = peer, life
-        window.gave[key] = window.gave.get(key, 0.0) + units
+        window.granted[key] = window.granted.get(key, 0.0) + units
         window.rights -= units
         self.given += units
-        grant = Grant(account.number, need.window, window.gave[key], life)
+        grant = Grant(account.number, need.window, window.granted[key], life)
         grants = self.peers[peer].grants
         grants[:] = [g for g in grants if (g[0].account, g[0].window) != (grant.account, grant.window)]
         grants.append((grant, REPEATS))
@@ -610,28 +477,28 @@
             return  # to a former life of this ingress, which may have spent it
         for window in account.windows.values():
             if window.number % 256 == grant.window and window.alone:
-                more = grant.units - window.got.get((peer, life), 0.0)
+                more = grant.units - window.received.get((peer, life), 0.0)
                 if more > 0:
-                    window.got[peer, life] = grant.units
+                    window.received[peer, life] = grant.units
                     window.rights += more
                     self.taken += more
 
     def _speak(self) -> None:
         needs = self._needs()
         for n, peer in self.peers.items():
-            since = self.now - peer.said if peer.said is not None else BEAT * 10
+            since = self.now - peer.said if peer.said is not None else HEARTBEAT * 10
             mine = tuple(need for need, members in needs if n in members)[:MOST_NEEDS]
-            pause = max(SOON, timedelta(milliseconds=12) * len(self.peers))
-            beat = max(BEAT, pause) if len(self.peers) < FEW else 4 * max(BEAT, pause)
+            pause = max(LEAST_PAUSE, timedelta(milliseconds=12) * len(self.peers))
+            beat = max(HEARTBEAT, pause) if len(self.peers) < SMALL_FLEET else 4 * max(HEARTBEAT, pause)
             if since < (pause if peer.grants or mine else beat):
                 continue
             peer.said, self.number = self.now, self.number + 1
             grants = tuple(g for g, _ in peer.grants[:MOST_GRANTS])
             later = [(g, k - 1) for g, k in peer.grants[:MOST_GRANTS] if k > 1]
             peer.grants = peer.grants[MOST_GRANTS:] + later
-            self.out.append(
-                Say(n, Message(self.rules.me, self.life, self.number, self.counter.in_trouble, mine, grants))
-            )
+            down = self.counter.in_trouble
+            message = Message(self.rules.me, self.life, self.number, down, mine, grants)
+            self.out.append(SendMessage(n, message))
 
     def _needs(self) -> list[tuple[Need, list[int]]]:
         found = []
@@ -642,7 +509,7 @@
             if over or window is None or not window.alone:
                 del self.wanting[account.number]
                 continue
-            units = round(min(account.limit, self._use(window)) - window.rights, 1)
+            units = round(min(account.limit, window.expected_use(self.now)) - window.rights, 1)
             if units >= 0.5:
                 whose = account.number, account.tariff, account.first, account.spread
                 found.append((Need(*whose, number % 256, units), self._members(account)))
--- a/opalgauge/lifecycle/service.py
+++ b/opalgauge/lifecycle/service.py
@@ -95,8 +95,8 @@
         parts.append(judge)
     holder = None
     if config.house.holds_leases:
-        from opalgauge.shares.channel import Channel as LeaseChannel
-        from opalgauge.shares.lease import Rules as LeaseRules
+        from opalgauge.leases.channel import Channel as LeaseChannel
+        from opalgauge.leases.holder import Rules as LeaseRules
 
         plans = tuple((p.rate, p.burst) for p in s.plans)
         ahead, grants = peering.leases in ("ahead", "on"), peering.leases == "on"
--- a/opalgauge/wire/exchange.py
+++ b/opalgauge/wire/exchange.py
@@ -82,7 +82,7 @@
             fx.NodesListed: lambda _: None,
             # Heard where state is replicated; `opalgauge.replica` puts its own here.
             fx.MarkMade: lambda _: None,
-            # Heard where leases of quotas are held; `opalgauge.shares` puts its own here.
+            # Heard where leases of quotas are held; `opalgauge.leases` puts its own here.
             fx.AccountMet: lambda _: None,
             fx.CountAsked: lambda _: None,
             fx.CountHeard: lambda _: None,
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -17,15 +17,15 @@
     "console": {"memory"},
     "handover": {"memory", "starlinggap"},
     "zones": {"memory", "starlinggap"},
-    "shares": {"memory", "starlinggap"},
+    "leases": {"memory", "starlinggap"},
     "replica": {"memory", "starlinggap"},
     "cores": {"memory", "starlinggap"},
-    "lab": {"memory", "starlinggap", "wire", "zones", "shares", "replica", "lifecycle"},
+    "lab": {"memory", "starlinggap", "wire", "zones", "leases", "replica", "lifecycle"},
 }
 EDGE: dict[str, tuple[set[str], set[str]]] = {  # its modules, and what these may import besides
     "console": ({"endpoint", "ban_file"}, {"wire"}),
     "zones": ({"channel"}, {"wire"}),
-    "shares": ({"channel"}, {"wire"}),
+    "leases": ({"channel"}, {"wire"}),
     "replica": ({"channel"}, {"wire"}),
     "cores": ({"guardian", "worker", "__main__"}, {"wire", "lifecycle"}),
     "lab": ({"skewed"}, {"cli"}),  # it is the command line, with a clock that is wrong
--- a/tests/test_shares.py
+++ b/tests/test_leases.py
@@ -12,13 +12,14 @@
 from hypothesis import settings as hyp
 from hypothesis import strategies as st
 
+from opalgauge.lab.leases import Scene, World
 from opalgauge.lab.quotas import TARIFFS, Tariff, Verdict, bound, by_tariff, replay
-from opalgauge.lab.shares import Scene, World
+from opalgauge.leases import messages
+from opalgauge.leases.actions import Action, CallCounter, ReportUse, SendMessage, TellTotal
+from opalgauge.leases.counter_health import LATE, SILENCE, CounterHealth, CounterState
+from opalgauge.leases.holder import Leases, Rules
+from opalgauge.leases.messages import Grant, Message, Need
 from opalgauge.memory.sealed import LONGEST
-from opalgauge.shares import messages
-from opalgauge.shares.counter_health import LATE, SILENCE, CounterHealth, CounterState
-from opalgauge.shares.lease import Action, Call, Leases, Rules, Say, Spent, Tell
-from opalgauge.shares.messages import Grant, Message, Need
 from starlinggap import interface as i
 from starlinggap.quota import counter_name
 
@@ -36,20 +37,20 @@
         rules = dataclasses.replace(Rules(me, 3, ((RATE, BURST),)), **changes)  # type: ignore[arg-type]
         self.now, self.leases = now, Leases(rules, now, life, 7)
         self.totals: dict[int, float] = {}
-        self.calls: list[Call] = []
-        self.tells: list[Tell] = []
-        self.said: list[Say] = []
-        self.spent: list[Spent] = []
+        self.calls: list[CallCounter] = []
+        self.tells: list[TellTotal] = []
+        self.said: list[SendMessage] = []
+        self.spent: list[ReportUse] = []
 
     def take(self, actions: Iterable[Action]) -> None:
         for action in actions:
-            if isinstance(action, Call):
+            if isinstance(action, CallCounter):
                 self.calls.append(action)
-            elif isinstance(action, Tell):
+            elif isinstance(action, TellTotal):
                 self.tells.append(action)
-            elif isinstance(action, Say):
+            elif isinstance(action, SendMessage):
                 self.said.append(action)
-            elif isinstance(action, Spent):
+            elif isinstance(action, ReportUse):
                 self.spent.append(action)
 
     def ask(self, amount: float = 1.0, back: int = 0) -> None:
@@ -309,7 +310,7 @@
     return post.leases.accounts[ACCOUNT].windows[int(post.now.timestamp() // 4)].rights
 
 
-def give_needs(busy: Post, idle: Post) -> list[Say]:
+def give_needs(busy: Post, idle: Post) -> list[SendMessage]:
     for _ in range(12):
         busy.ask()
         busy.step(40 * MS)
