--- a/opalgauge/handover/link.py
+++ b/opalgauge/handover/link.py
@@ -96,8 +96,14 @@
         if len(line) > messages.LONGEST:
             return
         for writer in (self.link, *self.callers):
-            if writer is not None and writer.transport.get_write_buffer_size() < MOST_UNSENT:
-                writer.write(line)
+            if writer is not None:
+                self._write(writer, line)
+
+    @staticmethod
+    def _write(writer: asyncio.StreamWriter, line: bytes) -> None:
+        """Guards against a process that has ended, where writing would raise, and one that does not read."""
+        if not writer.is_closing() and writer.transport.get_write_buffer_size() < MOST_UNSENT:
+            writer.write(line)
 
     def _strangers(self) -> None:
         """Another ingress has this folder, too. Its place there is left to it, and its part of the limits."""
@@ -179,7 +185,7 @@
                 return
             self.report(ProcessesSeen(2))
             if self.serving:
-                writer.write(messages.write(messages.Serving(True)))
+                self._write(writer, messages.write(messages.Serving(True)))
             await self._listen_to(reader, writer)
         except (OSError, TimeoutError, ValueError):
             pass  # it has gone, or says nothing
--- a/tests/test_upgrade_faults.py
+++ b/tests/test_upgrade_faults.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 import pytest
+import uvloop
 
 from opalgauge.handover import messages, record
 from opalgauge.handover.link import NAME, Link
@@ -171,6 +172,31 @@
     asyncio.run(asyncio.wait_for(play(), 30))
 
 
+def test_telling_a_process_that_has_just_ended_does_no_harm(tmp_path: Path) -> None:
+    # The soak found it: a start that was told nothing raised when it said that it serves, and crashed.
+    async def play() -> None:
+        gone = asyncio.Event()
+
+        async def old(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.close()
+            gone.set()
+
+        async with await asyncio.start_unix_server(old, str(tmp_path / NAME)) as server:
+            new = Link(str(tmp_path), dict, lambda: AT, lambda _: None)
+            await new.start()
+            await gone.wait()
+            assert new.link is not None
+            new.link.transport.abort()
+            new.tell_serving(True)
+            for _ in range(3):
+                await asyncio.sleep(0)
+                new.tell_bans((BAN,))
+            new.close()
+            server.close()
+
+    uvloop.run(asyncio.wait_for(play(), 20))
+
+
 @pytest.mark.parametrize(
     "line", [b"", b"{", b"[]\n", b'{"serving":1}\n', b'{"bans":[[1]]}\n', b'{"later":{}}\n', b"[" * 100_000]
 )
