Take off a request's time what it waited to be accepted

Cause: clients.py:411 counts from when a request is read; listener.py:54 accepts after a pause as if nothing had waited.

Change: an acceptor knows since when nobody accepted (a failed accept, a suspension, a process that begins on an inherited socket), and asks the system how old the connection's bytes are (TCP_INFO); the lesser of both is taken off its first request's time.

--- a/opalgauge/console/endpoint.py
+++ b/opalgauge/console/endpoint.py
@@ -84,7 +84,7 @@
 
     async def listen(self, host: str, port: int) -> None:
         """Raises OSError where the address cannot be had."""
-        self.listener = Listener(bind(host, port), BACKLOG, lambda: Caller(self))
+        self.listener = Listener(bind(host, port), BACKLOG, lambda _: Caller(self))
 
     def close(self) -> None:
         if self.listener is not None:
--- a/opalgauge/cores/guardian.py
+++ b/opalgauge/cores/guardian.py
@@ -32,7 +32,7 @@
 from opalgauge.lifecycle.logs import Log
 from opalgauge.lifecycle.reload import reread
 from opalgauge.lifecycle.sources import Reading, Source, told_again
-from opalgauge.memory.drain import ANSWER_MARGIN, EXIT_MARGIN, kill_after
+from opalgauge.memory.drain import EXIT_MARGIN, DrainSchedule, kill_after
 from opalgauge.wire.listener import Acceptor, bind
 
 TICK = 0.025  # s between looks at the beats
@@ -155,7 +155,8 @@
     def _drain(self) -> None:
         if not self.draining:
             self.draining = True
-            self.answer_by = self.clock.now() + self.kill_after - ANSWER_MARGIN
+            schedule = DrainSchedule.begun(self.clock.now(), self.kill_after, successor=False)
+            self.answer_by = schedule.answer_all
         self.step(w.DrainAsked())
 
     def _reload(self) -> None:
@@ -309,7 +310,7 @@
             self.acceptor.close_when_empty()
         self._all(sp.Closed())
 
-    def _accepted(self, sock: socket.socket) -> None:
+    def _accepted(self, sock: socket.socket, _: float) -> None:
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if not self.free:
--- a/opalgauge/cores/worker.py
+++ b/opalgauge/cores/worker.py
@@ -327,7 +327,7 @@
         elif isinstance(message, sp.Drain):
             self._drain()
         elif isinstance(message, sp.Closed):
-            self.exchange.report(ev.GraceOver())
+            self.exchange.report(ev.CloseIdleAsked())
         elif isinstance(message, sp.Leave):
             self.over.set()
 
@@ -350,7 +350,7 @@
         self.alone = True
         self.log("drain: the guardian is gone; answering what is held, then leaving")
         self._drain()
-        self.exchange.report(ev.GraceOver())
+        self.exchange.report(ev.CloseIdleAsked())
         self.loop.call_later(self.exchange.time_to_kill().total_seconds(), self.over.set)
         if self.leaving:
             self.over.set()
--- a/opalgauge/memory/events.py
+++ b/opalgauge/memory/events.py
@@ -376,7 +376,7 @@
 
 
 @dataclass(slots=True)
-class GraceOver:
+class CloseIdleAsked:
     """The front has stopped dealing out new connections."""
 
 
@@ -418,5 +418,5 @@
     | ZoneJudged
     | CountTold
     | CountWanted
-    | GraceOver
+    | CloseIdleAsked
 )
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -93,7 +93,7 @@
             ev.ProcessesSeen: self._processes_seen,
             ev.OthersServing: self._others_serving,
             ev.MemoryHanded: self._memory_handed,
-            ev.GraceOver: lambda _: self._close_idle_clients(),
+            ev.CloseIdleAsked: lambda _: self._close_idle_clients(),
             ev.ZoneJudged: self._zone_judged,
             ev.CountTold: self._count_told,
             ev.CountWanted: self._count_wanted,
@@ -1203,8 +1203,9 @@
             return
         for flow in books.flows.values():
             self.out.append(fx.AbortClient(flow.client))
-        owed = len(books.flows) + len(books.orders)
-        if owed:
-            self.out.append(fx.Log(f"drain: SIGKILL is near; {owed} long answers are cut off"))
+        streams, requests = len(books.flows), len(books.orders)
+        if streams or requests:
+            cut = f"{streams} long answers and {requests} requests"
+            self.out.append(fx.Log(f"drain: SIGKILL is near; {cut} are cut off"))
         books.left = True
         self.out.append(fx.Leave())
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -142,11 +142,12 @@
     `lingering`: nothing that comes over it is read as a request.
     """
 
-    __slots__ = ("lingering", "dropped")
+    __slots__ = ("lingering", "dropped", "waited")
 
     def __init__(self, *args: Any, **more: Any) -> None:
         super().__init__(*args, **more)
         self.lingering, self.dropped = False, 0
+        self.waited = 0.0  # s that its first request lay unread before the connection was accepted
 
     def data_received(self, data: bytes) -> None:
         if self.lingering:
@@ -267,7 +268,13 @@
         """Listens at an address, or on the listening socket that this process was started with."""
         self.shared = inherited is not None
         listening = bind(host, port) if inherited is None else socket.socket(fileno=inherited)
-        self.listener = Listener(listening, BACKLOG, self.server)
+        self.listener = Listener(listening, BACKLOG, self._connection, inherited is not None)
+
+    def _connection(self, waited: float) -> RequestHandler:
+        made = self.server()
+        if isinstance(made, Handler):
+            made.waited = waited
+        return made
 
     def stop_accepting(self) -> None:
         """No more connections for now. What waits in the kernel's queue stays there for whoever else listens
@@ -418,6 +425,7 @@
                 raise Malformed(413, "a body that is too long")
             self.number += 1
             order = read_order(request, self.number, client, body, self.trade)
+            self._take_off_what_it_waited(request, order)
         except Malformed as bad:
             self.report(RequestOver(client))
             return await self._plain(request, bad.status, request.content)
@@ -426,6 +434,14 @@
             self.bodies[order.order] = request.content
         return await self._order(request, order, whole)
 
+    @staticmethod
+    def _take_off_what_it_waited(request: web.BaseRequest, order: OrderTaken) -> None:
+        """Guards servers against being told time that a client no longer has."""
+        connection = request.protocol
+        if isinstance(connection, Handler) and connection.waited:
+            order.time_left = max(timedelta(0), order.time_left - timedelta(seconds=connection.waited))
+            connection.waited = 0.0
+
     async def _order(self, request: web.BaseRequest, order: OrderTaken, whole: bool) -> web.StreamResponse:
         waiting = self.loop.create_future()
         self.waiting[order.order] = waiting
--- a/opalgauge/wire/listener.py
+++ b/opalgauge/wire/listener.py
@@ -8,11 +8,17 @@
 
 import asyncio
 import contextlib
+import math
 import socket
+import struct
 from collections.abc import Callable
 
 ACCEPTED_A_TURN = 64  # connections: others have their turn in between
 ABORTED_A_TURN = 16  # connections that their clients have given up before they were accepted
+LAST_RECEIVED, LAST_RECEIVED_AT = (
+    struct.Struct("=I"),
+    52,
+)  # tcpi_last_data_recv (ms) as linux/tcp.h lays it out
 PAUSE = 0.02  # s after an `accept` that failed: trying on at once would take the whole core
 
 
@@ -29,11 +35,31 @@
     return bound
 
 
-class Acceptor:
-    """Hands every connection that a listening socket brings to `taken`, until it is closed."""
+def bytes_age(accepted: socket.socket) -> float:
+    """Seconds since the last bytes came over a connection, by the system's own account."""
+    try:
+        info = accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_RECEIVED.size + LAST_RECEIVED_AT)
+        return float(LAST_RECEIVED.unpack_from(info, LAST_RECEIVED_AT)[0]) / 1000
+    except (OSError, struct.error):
+        return 0.0
+
 
-    def __init__(self, listening: socket.socket, taken: Callable[[socket.socket], None]) -> None:
+class Acceptor:
+    """Hands every connection that a listening socket brings to `taken`, until it is closed.
+
+    With it goes for how many seconds what the client has written lay unread, where nobody accepted for a
+    while: an `accept` that failed, a suspension, or a process that begins on a socket at which clients wait
+    already (`inherited`).
+    """
+
+    def __init__(
+        self,
+        listening: socket.socket,
+        taken: Callable[[socket.socket, float], None],
+        inherited: bool = False,
+    ) -> None:
         self.listening, self.taken = listening, taken
+        self.blind_since = -math.inf if inherited else math.inf  # nobody has accepted from then on
         self.listening.setblocking(False)
         self.loop = asyncio.get_running_loop()
         self.closed = self.closing = self.suspended = False
@@ -58,6 +84,7 @@
             try:
                 accepted, _address = self.listening.accept()
             except BlockingIOError:
+                self.blind_since = math.inf
                 if self.closing:
                     self.close()
                 return
@@ -71,11 +98,17 @@
                 self._pause()
                 return
             accepted.setblocking(False)
-            self.taken(accepted)
+            self.taken(accepted, self._waited(accepted))
         if self.closing:
             self._pause()
 
+    def _waited(self, accepted: socket.socket) -> float:
+        """Seconds, no more than nobody accepted: what came later lay unread for no longer than usual."""
+        blind = self.loop.time() - self.blind_since
+        return min(blind, bytes_age(accepted)) if blind > 0 else 0.0
+
     def _pause(self) -> None:
+        self.blind_since = min(self.blind_since, self.loop.time())
         self.loop.remove_reader(self.listening.fileno())
         if self.pause is None:
             self.pause = self.loop.call_later(PAUSE, self._watch)
@@ -85,6 +118,7 @@
         if self.closed or self.closing:
             return
         self.suspended = True
+        self.blind_since = min(self.blind_since, self.loop.time())
         self._cancel_pause()
         self.loop.remove_reader(self.listening.fileno())
 
@@ -119,12 +153,18 @@
 class Listener:
     """A listening socket whose connections speak a protocol."""
 
-    def __init__(self, listening: socket.socket, backlog: int, make: Callable[[], asyncio.Protocol]) -> None:
-        self.make = make
+    def __init__(
+        self,
+        listening: socket.socket,
+        backlog: int,
+        make: Callable[[float], asyncio.Protocol],
+        inherited: bool = False,
+    ) -> None:
+        self.make = make  # told for how many seconds what the client has written lay unread
         self.loop = asyncio.get_running_loop()
         self.starting: set[asyncio.Task[None]] = set()  # accepted, and not yet with their protocol
         listening.listen(backlog)
-        self.acceptor = Acceptor(listening, self._taken)
+        self.acceptor = Acceptor(listening, self._taken, inherited)
 
     @property
     def address(self) -> tuple[str, int]:
@@ -135,14 +175,14 @@
         """Whether a connection that was accepted, or is still to be, has not reached its protocol."""
         return bool(self.starting) or self.acceptor.closing and not self.acceptor.closed
 
-    def _taken(self, accepted: socket.socket) -> None:
-        task = self.loop.create_task(self._start(accepted))
+    def _taken(self, accepted: socket.socket, waited: float) -> None:
+        task = self.loop.create_task(self._start(accepted, waited))
         self.starting.add(task)
         task.add_done_callback(self.starting.discard)
 
-    async def _start(self, accepted: socket.socket) -> None:
+    async def _start(self, accepted: socket.socket, waited: float) -> None:
         try:
-            await self.loop.connect_accepted_socket(self.make, accepted)
+            await self.loop.connect_accepted_socket(lambda: self.make(waited), accepted)
         except OSError:
             with contextlib.suppress(OSError):
                 accepted.close()
