--- a/opalgauge/wire/listener.py
+++ b/opalgauge/wire/listener.py
@@ -36,8 +36,9 @@
 
 
 def bytes_age(accepted: socket.socket) -> float:
-    """Seconds since the last bytes came over a connection, by the system's own account."""
+    """For how many seconds all that has come over a new connection lies unread; 0 where nothing has come."""
     try:
+        accepted.recv(1, socket.MSG_PEEK)
         info = accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_RECEIVED.size + LAST_RECEIVED_AT)
         return float(LAST_RECEIVED.unpack_from(info, LAST_RECEIVED_AT)[0]) / 1000
     except (OSError, struct.error):
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -21,6 +21,7 @@
 SPARE = 1.0  # s beyond the time after which an answer is lost: it may still tell that it came late
 LONG_BODIES = 0.02  # of the bodies
 MOST_LONG = 300_000  # bytes
+MOST_HELD = 64 * 1024  # bytes: a longer answer is passed on while it comes
 REST = 0.05  # s between the parts of a request that is written slowly
 
 
@@ -151,6 +152,8 @@
             heard = heard or getattr(bad, "partial", b"")
             unheard = not heard and (request.kept or self.deployment.crowd)
             request.end, request.ended = End.UNHEARD if unheard else End.LOST, self.now()
+            if (found := LENGTH.search(heard)) and int(found[1]) > MOST_HELD and b"\r\n\r\n" in heard:
+                request.end = End.CUT
             connection.close()
             return False
         request.end, request.ended, request.status = End.ANSWERED, self.now(), int(heard[9:12])
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -24,6 +24,7 @@
     ANSWERED = "answered"
     LOST = "connection ended with no whole answer"
     UNHEARD = "a kept connection ended before anything came"  # its client asks once more over a new one
+    CUT = "an answer too long to be held broke off"  # only where the server's own answer did
     LEFT = "the client left"
     NEVER_SENT = "the connection had ended before the request was written"
 
@@ -55,6 +56,7 @@
     time_left: float  # as the ingress told it
     ran: bool  # False: turned away unprocessed, or dropped as a repeat whose key is known
     ended: float = math.inf  # answered, or its connection ended
+    harmed: bool = False  # its connection was ended by the server, or on the way
 
 
 @dataclass
