Take what was waited off the request that waited, and off no other

Found on reading the change again: clients.py:437 took off a connection's waiting where the first request becomes an order. Change: the waiting goes with the first request, whatever that is. And one map of who waits in place of two under the same keys (waiting and askers).

--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -10,7 +10,7 @@
 import socket
 from collections.abc import Callable
 from datetime import timedelta
-from typing import Any
+from typing import Any, NamedTuple
 
 from aiohttp import ClientPayloadError, web
 from aiohttp.http import HttpProcessingError, HttpVersion11, RawRequestMessage
@@ -45,6 +45,7 @@
 MOST_LINGER = 256 * 1024  # bytes: so many of them
 LAST_WRITE = 0.5  # s: for answers that their clients are slow to take, when all leave
 LOOK = 0.04  # s between looks whether the client of a body that is not read on is still there
+NOTHING = timedelta(0)
 LONGEST = 3600.0  # s: nobody waits longer for an answer
 # What says how a body is to be read goes with it, and so does the key by which stock nodes know a repeat.
 PASSED = ("Content-Type", "Content-Encoding", "Idempotency-Key")
@@ -69,6 +70,13 @@
     """The process ends before the rest of a body can come."""
 
 
+class Waiting(NamedTuple):
+    """A client that waits for the answer to its order, and the answer's body where that comes at length."""
+
+    answer: asyncio.Future[tuple[AnswerClient, StreamReader | None]]
+    connection: RequestHandler
+
+
 class Trade:
     """The deployment's own names for kinds of request and tariffs, in the order of its settings.
 
@@ -230,8 +238,7 @@
     ) -> None:
         self.trade, self.report, self.ready = trade, report, ready
         self.over: Callable[[int], None] | None = None  # told of each order that waits no more
-        self.waiting: dict[int, asyncio.Future[tuple[AnswerClient, StreamReader | None]]] = {}
-        self.askers: dict[int, RequestHandler] = {}  # by order that waits: its connection
+        self.waiting: dict[int, Waiting] = {}  # by order
         self.connections: dict[int, RequestHandler] = {}
         self.numbers: dict[RequestHandler, int] = {}
         self.reading: dict[RequestHandler, StreamReader] = {}  # bodies whose last byte has not come
@@ -376,9 +383,10 @@
 
     def gone(self, order: int) -> int | None:
         """The client that asked, if its connection has ended and the loop has yet to say so."""
-        connection = self.askers.get(order)
-        if connection is None:
+        waiting = self.waiting.get(order)
+        if waiting is None:
             return None
+        connection = waiting.connection
         transport = connection.transport
         ended = transport is None or transport.is_closing() or has_ended(transport)
         return self.numbers.get(connection) if ended else None
@@ -398,10 +406,11 @@
     def answer(self, effect: AnswerClient, flow: StreamReader | None = None) -> None:
         """`flow`: the answer's body, as it comes."""
         waiting = self.waiting.get(effect.order)
-        if waiting is not None and not waiting.done():
-            waiting.set_result((effect, flow))
+        if waiting is not None and not waiting.answer.done():
+            waiting.answer.set_result((effect, flow))
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        waited = self._take_waited(request)
         if request.raw_path == "/ready":
             return await self._plain(request, 200 if self.ready() else 503)
         client = self.numbers.get(request.protocol)
@@ -425,7 +434,8 @@
                 raise Malformed(413, "a body that is too long")
             self.number += 1
             order = read_order(request, self.number, client, body, self.trade)
-            self._take_off_what_it_waited(request, order)
+            if waited:
+                order.time_left = max(NOTHING, order.time_left - waited)
         except Malformed as bad:
             self.report(RequestOver(client))
             return await self._plain(request, bad.status, request.content)
@@ -435,30 +445,32 @@
         return await self._order(request, order, whole)
 
     @staticmethod
-    def _take_off_what_it_waited(request: web.BaseRequest, order: OrderTaken) -> None:
-        """Guards servers against being told time that a client no longer has."""
+    def _take_waited(request: web.BaseRequest) -> timedelta:
+        """How long a connection's first request lay unread; nothing for any other.
+
+        Guards servers against being told time that a client no longer has.
+        """
         connection = request.protocol
-        if isinstance(connection, Handler) and connection.waited:
-            order.time_left = max(timedelta(0), order.time_left - timedelta(seconds=connection.waited))
-            connection.waited = 0.0
+        if not isinstance(connection, Handler) or not connection.waited:
+            return NOTHING
+        waited, connection.waited = timedelta(seconds=connection.waited), 0.0
+        return waited
 
     async def _order(self, request: web.BaseRequest, order: OrderTaken, whole: bool) -> web.StreamResponse:
-        waiting = self.loop.create_future()
-        self.waiting[order.order] = waiting
-        self.askers[order.order] = request.protocol
+        waiting = self.waiting[order.order] = Waiting(self.loop.create_future(), request.protocol)
         self.busy.add(request.protocol)
         transport = request.transport
         hears_the_end = whole and transport is not None and transport.is_reading()
         look = None if hears_the_end else self.loop.create_task(self._look(request))
         try:
             self.report(order)
-            effect, flow = await waiting
+            effect, flow = await waiting.answer
             if effect.flow:
                 return await self._pass_on(request, effect, flow)
         finally:
             if look is not None:
                 look.cancel()
-            del self.waiting[order.order], self.askers[order.order]
+            del self.waiting[order.order]
             self.bodies.pop(order.order, None)
             if self.over is not None:
                 self.over(order.order)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -117,6 +117,25 @@
     asyncio.run(asyncio.wait_for(play(), 60))
 
 
+def test_what_was_waited_is_taken_off_the_request_that_waited_and_no_other(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with scene(tmp_path) as here:
+            here.shim.give("accept", errno.EMFILE)
+            reader, writer = await asyncio.open_connection(*here.ingress.address)
+            writer.write(b"GET /ready HTTP/1.1\r\nHost: a\r\n\r\n")
+            await here.given("accept", 3)
+            await asyncio.sleep(0.4)
+            here.shim.stop("accept")
+            for request in (b"", harness.request("GET", "/stock-check", name="asks-next")):
+                writer.write(request)
+                assert b" 200 " in await asyncio.wait_for(harness.read_request(reader), ANSWERED)
+            writer.close()
+            (request,) = here.node.requests
+            assert float(LEFT.search(request)[1]) > 0.9  # type: ignore[index]
+
+    asyncio.run(asyncio.wait_for(play(), 60))
+
+
 def test_clients_behind_a_failing_accept_are_answered_when_it_is_asked_to_stop(tmp_path: Path) -> None:
     async def play() -> None:
         async with scene(tmp_path) as here:
