--- a/opalgauge/leases/holder.py
+++ b/opalgauge/leases/holder.py
@@ -311,11 +311,12 @@
         while window.asks:
             ask = window.asks[0]
             if not (window.alone or self._covers(window, ask)):
-                if not window.token and not self.counter.in_trouble and self.counter.may_call(self.now):
-                    self._charge(window)
-                    return
-                if not self.counter.in_trouble and self.now - ask.at < LATE:
-                    return
+                if not self.counter.in_trouble:
+                    if not window.token and self.counter.may_call(self.now):
+                        self._charge(window)
+                        return
+                    if self.now - ask.at < LATE:
+                        return
                 self._leave(window)
             window.asks.popleft()
             before = self._told(window)
--- a/opalgauge/memory/events.py
+++ b/opalgauge/memory/events.py
@@ -377,7 +377,7 @@
 
 @dataclass(slots=True)
 class CloseIdleAsked:
-    """The front has stopped dealing out new connections."""
+    """Connections over which nothing is owed are to be closed, and no more accepted."""
 
 
 Event = (
--- a/opalgauge/wire/line.py
+++ b/opalgauge/wire/line.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import contextlib
-import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -30,7 +29,7 @@
     LineUp,
     Reached,
 )
-from opalgauge.wire.descriptors import borrowed, unread
+from opalgauge.wire.descriptors import shut, unread
 
 MOST_BODY = 64 * 1024  # bytes: a longer answer is not held, but passed on while it comes
 MOST_LONG = 40 * 1024 * 1024  # bytes: nor is any message longer
@@ -324,9 +323,7 @@
         if self.transport is not None:
             # Guards against the loop's habit of closing a socket a turn later, when a further attempt would
             # already be out.
-            theirs = self.transport.get_extra_info("socket")
-            with contextlib.suppress(OSError, ValueError), borrowed(theirs) as held:
-                held.shutdown(socket.SHUT_RDWR)
+            shut(self.transport)
             self.transport.abort()
 
     def _fault(self) -> None:
--- a/opalgauge/wire/listener.py
+++ b/opalgauge/wire/listener.py
@@ -10,15 +10,12 @@
 import contextlib
 import math
 import socket
-import struct
 from collections.abc import Callable
 
+from opalgauge.wire.descriptors import bytes_age
+
 ACCEPTED_A_TURN = 64  # connections: others have their turn in between
 ABORTED_A_TURN = 16  # connections that their clients have given up before they were accepted
-LAST_RECEIVED, LAST_RECEIVED_AT = (
-    struct.Struct("=I"),
-    52,
-)  # tcpi_last_data_recv (ms) as linux/tcp.h lays it out
 PAUSE = 0.02  # s after an `accept` that failed: trying on at once would take the whole core
 
 
@@ -35,16 +32,6 @@
     return bound
 
 
-def bytes_age(accepted: socket.socket) -> float:
-    """For how many seconds all that has come over a new connection lies unread; 0 where nothing has come."""
-    try:
-        accepted.recv(1, socket.MSG_PEEK)
-        info = accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_RECEIVED.size + LAST_RECEIVED_AT)
-        return float(LAST_RECEIVED.unpack_from(info, LAST_RECEIVED_AT)[0]) / 1000
-    except (OSError, struct.error):
-        return 0.0
-
-
 class Acceptor:
     """Hands every connection that a listening socket brings to `taken`, until it is closed.
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import MappingProxyType
-from typing import Any
+from typing import Any, ParamSpec
 
 from opalgauge.lab.ports import free_ports
 
@@ -48,6 +48,7 @@
     ended: asyncio.Event = field(default_factory=asyncio.Event)  # a connection was ended by the ingress
 
 
+Parties = ParamSpec("Parties")
 Script = Callable[[bytes, asyncio.StreamWriter], Any]
 
 
@@ -167,25 +168,6 @@
     return free_ports(1)[0]
 
 
-@contextlib.asynccontextmanager
-async def ingress(
-    node: str,
-    quota: str,
-    nodes: str,
-    listener: socket.socket | None = None,
-    scratch: str = "",
-    port: int = 0,
-    settings: dict[str, Any] = SETTINGS,
-    environ: Mapping[str, str] = MappingProxyType({}),
-) -> AsyncIterator[Ingress]:
-    """The program itself, ready to serve."""
-    async with starting(node, quota, nodes, listener, scratch, port, settings, environ) as one:
-        assert one.process.stderr is not None
-        while b"ready" not in (line := await asyncio.wait_for(one.process.stderr.readline(), 60)):
-            assert any(word in line for word in (b"maint", b"handover", b"clock:"))
-        yield one
-
-
 @contextlib.asynccontextmanager
 async def starting(
     node: str,
@@ -229,3 +211,22 @@
                 with contextlib.suppress(ProcessLookupError):
                     process.send_signal(signal.SIGKILL)
             await process.wait()
+
+
+def until_ready(
+    start: Callable[Parties, contextlib.AbstractAsyncContextManager[Ingress]],
+) -> Callable[Parties, contextlib.AbstractAsyncContextManager[Ingress]]:
+    """The same start, handed over once the program is ready to serve."""
+
+    @contextlib.asynccontextmanager
+    async def ready(*parties: Parties.args, **more: Parties.kwargs) -> AsyncIterator[Ingress]:
+        async with start(*parties, **more) as one:
+            assert one.process.stderr is not None
+            while b"ready" not in (line := await asyncio.wait_for(one.process.stderr.readline(), 60)):
+                assert any(word in line for word in (b"maint", b"handover", b"clock:"))
+            yield one
+
+    return ready
+
+
+ingress = until_ready(starting)
