Kill the soak's failed upgrades while they start, and not when they serve

No term promises that what such a process holds is answered; the issue asks for the upgrade of a process that is still starting. Change: it is killed at the drawn moment if it is not ready by then; one that is ready is told to stop, with the kill at its earliest, and has to answer everything. No rule of the checker changes.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -126,6 +126,13 @@
         self.folder.mkdir(exist_ok=True)
 
     async def start(self) -> Process:
+        """A process that is ready, or has had its time to be."""
+        process = await self._begin_a_process()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(process.ready.wait(), READY_LIMIT)
+        return process
+
+    async def _begin_a_process(self) -> Process:
         assert self.agent is not None
         told = {**self.config, "known": self.agent.known()}
         (self.folder / "config.json").write_text(json.dumps(told))
@@ -143,10 +150,7 @@
             sys.executable, "-m", "opalgauge", cwd=ROOT, env=environ, pass_fds=fds,
             stderr=asyncio.subprocess.PIPE, stdin=asyncio.subprocess.DEVNULL,
         )  # fmt: skip
-        process = Process(record, handle, self.now)
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(process.ready.wait(), READY_LIMIT)
-        return process
+        return Process(record, handle, self.now)
 
     async def begin(self) -> None:
         self.current = await self.start()
@@ -160,11 +164,17 @@
             self.lines += old.lines
 
     async def failed_upgrade(self, after: float) -> None:
-        """A new process that is killed before the old one is told anything; the old one serves on."""
-        new = asyncio.create_task(self.start())
-        await asyncio.sleep(after)
-        process = await new
-        await process.kill()
+        """A new process that is killed while it starts; the old one serves on and is told nothing.
+
+        One that has come to be ready by then may hold requests, and is told to stop like any other.
+        """
+        new = await self._begin_a_process()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(new.ready.wait(), after)
+        if new.ready.is_set():
+            await new.stop(self.deployment.limits.longest_deadline)
+        else:
+            await new.kill()
 
     async def abandoned_upgrade(self, after: float, all_stopping: Callable[[], None]) -> None:
         """The new process is told to stop as well, soon after the old one; a third takes their place."""
