--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""One answer in five comes spoilt, with a control character in its head: each request is still owed an answer."""
+"""One answer in five comes spoilt, with a control character in its head: each request is owed an answer."""
 
 import asyncio
 import os
