--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,45 +1,34 @@
-"""Orders with long bodies, while one stock node of four hangs: each order is owed its answer in its time."""
+"""A node list agent whose answers come in two pieces 0.2 s apart, while a stock node drains and then ends."""
 
 import asyncio
 import os
-import signal
-import socket
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "common"))
-from rig import (
-    TROUBLE,
-    Agent,
-    CannotRun,
-    Counter,
-    Ingress,
-    NodeProcess,
-    Record,
-    ask_once,
-    new_id,
-    play,
-    request,
-)
+from rig import TROUBLE, Agent, CannotRun, Counter, Ingress, Node, Record, answer, ask_once, play
 
-TIME_LEFT = 3.0  # s; also the deadline of the class
-GRACE = 0.55  # s: half a second after its time it only earns nothing; time limits on sockets are 50 ms longer
-SIZES = (4_000_000, 5_000_000, 6_000_000, 7_000_000)  # bytes; the pages allow 32 MB
-ORDERS = 40
+PIECE_PAUSE = 0.2  # s between the two pieces of each of the agent's answers
+TOLD_AT_LATEST = 6.0  # s: the change counts as told by then, whether it arrived or not
+GRACE = 2.05  # s: `stop_sending_within`; time limits on sockets are 50 ms longer
+DRAIN = 12.0  # s from the change until the draining node ends
+WORK = 0.15  # s that a node takes for an order
 
 
 async def case(record: Record, folder: str, ingresses: list[Ingress]) -> str:
-    nodes = [NodeProcess(f"s-{number}", record, None) for number in range(4)]
-    try:
-        return await play_orders(record, folder, ingresses, nodes)
-    finally:
-        for node in nodes:
-            node.stop()
-            await node.process.wait()
+    async def serve(_: Node, writer: asyncio.StreamWriter, request_id: str, __: object, ___: bytes) -> None:
+        await asyncio.sleep(WORK)
+        writer.write(answer(request_id.encode()))
 
+    async def in_pieces(writer: asyncio.StreamWriter, data: bytes) -> None:
+        middle = len(data) // 2
+        writer.write(data[:middle])
+        await asyncio.sleep(PIECE_PAUSE)
+        if not writer.transport.is_closing():
+            writer.write(data[middle:])
 
-async def play_orders(record: Record, folder: str, ingresses: list[Ingress], nodes: list[NodeProcess]) -> str:
+    nodes = [Node(f"s-{number}", record, serve) for number in range(4)]
     for node in nodes:
         await node.start()
     counter, agent = Counter(), Agent(record)
@@ -51,72 +40,44 @@
     ingresses.append(ingress)
     await ingress.start()
     await ingress.wait_ready()
-    for number in range(8):  # a calm beginning
-        status, _, __ = await ask_once(ingress, "place-order", TIME_LEFT, b"order", customer=number + 1)
-        if status != "200":
-            raise CannotRun("a calm order was not served")
-    if TROUBLE:
-        nodes[1].signal(signal.SIGSTOP)
-    loop = asyncio.get_running_loop()
-    late: list[str] = []
-    counts: dict[str, int] = {}
+    orders: dict[str, tuple[float, str]] = {}  # when it was sent, and its status
+    until = float("inf")
 
-    async def order(number: int) -> None:
-        request_id, size = new_id(), SIZES[number % len(SIZES)]
-        with socket.socket() as sock:
-            sock.setblocking(False)
-            await loop.sock_connect(sock, ("127.0.0.1", ingress.port))
-            began = time.monotonic()
-            reading = asyncio.create_task(loop.sock_recv(sock, 4096))
-            sending = asyncio.create_task(
-                loop.sock_sendall(
-                    sock, request("place-order", request_id, TIME_LEFT, b"x" * size, customer=100 + number)
-                )
-            )
-            record(f"client: sends place-order {request_id}, {size} bytes, time-left={TIME_LEFT}")
-            await asyncio.wait({reading, sending}, return_when=asyncio.FIRST_COMPLETED, timeout=TIME_LEFT)
-            if not sending.done() or sending.exception():
-                result = (
-                    "answered before its last byte"
-                    if reading.done()
-                    else "last byte never written: not taken"
-                )
-            else:
-                written = time.monotonic()
-                record(f"client: {request_id}: last byte written after {written - began:.3f} s")
-                await asyncio.wait({reading}, timeout=TIME_LEFT + GRACE)
-                if reading.done() and not reading.exception() and reading.result():
-                    result = "answered " + reading.result()[9:12].decode()
-                    record(f"client: {request_id}: {result} after {time.monotonic() - written:.3f} s")
-                else:
-                    result = "NO ANSWER IN ITS TIME"
-                    late.append(request_id)
-                    # Waits on only to record when an answer would have come.
-                    await asyncio.wait({reading}, timeout=5)
-                    seen = (
-                        reading.result()[9:12].decode()
-                        if reading.done() and not reading.exception()
-                        else "none"
-                    )
-                    record(
-                        f"client: {request_id}: {result}; later: {seen} ({time.monotonic() - written:.3f} s)"
-                    )
-            counts[result] = counts.get(result, 0) + 1
-            for task in (reading, sending):
-                task.cancel()
-            await asyncio.gather(reading, sending, return_exceptions=True)
+    async def client(number: int) -> None:
+        customer = number * 100_000
+        while time.monotonic() < until:
+            sent, customer = time.monotonic(), customer + 1
+            status, _, request_id = await ask_once(ingress, "place-order", 3.0, b"order", customer=customer)
+            orders[request_id] = sent, status
+            await asyncio.sleep(0.05)
 
-    tasks = []
-    for number in range(ORDERS):
-        tasks.append(asyncio.create_task(order(number)))
-        await asyncio.sleep(0.25)
-    await asyncio.gather(*tasks)
-    ran = {request_id for node in nodes for _, request_id in node.runs}
-    record(f"orders: {counts}; unanswered and run at a node: {len(ran.intersection(late))}")
-    if not counts.get("answered 200"):
-        raise CannotRun("no long order was served")
+    clients = [asyncio.create_task(client(number + 1)) for number in range(16)]
+    await asyncio.sleep(2)  # a calm beginning
+    if TROUBLE:
+        agent.write = in_pieces
+        await asyncio.sleep(2)
+    leaving = max(nodes, key=lambda node: len(node.runs))
+    if not leaving.runs:
+        raise CannotRun("no order was served")
+    agent.tell(leaving.listed("terminating"))
+    changed = time.monotonic()
+    record(f"{leaving.name}: drains from now on")
+    await asyncio.sleep(DRAIN)
+    record(f"{leaving.name}: has drained and ends")
+    leaving.stop()
+    agent.tell(leaving.listed("terminated"))
+    until = time.monotonic() + 1
+    await asyncio.gather(*clients)
+    sends = [(at - changed, request_id) for at, request_id in leaving.runs]
+    late = [(after, request_id) for after, request_id in sends if after > TOLD_AT_LATEST + GRACE]
+    lost = [request_id for _, request_id in late if orders.get(request_id, (0.0, ""))[1] != "200"]
+    record(
+        f"{leaving.name}: last order {max(after for after, _ in sends):.2f} s after the change; "
+        f"{len(late)} orders later than {TOLD_AT_LATEST + GRACE:.2f} s, {len(lost)} of them lost at its end; "
+        f"the agent was asked {agent.asked} times"
+    )
     return (
-        f"{len(late)} of {ORDERS} orders had no answer {TIME_LEFT + GRACE:.2f} s after their last byte"
+        f"{len(late)} orders were sent to a draining node after the time allowed, {len(lost)} of them lost"
         if late
         else ""
     )
