--- a/review/1/case.py
+++ b/review/1/case.py
@@ -79,6 +79,7 @@
         request_id, got, first = new_id(), 0, b""
         with socket.socket() as sock:
             sock.setblocking(False)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
             try:
                 await loop.sock_connect(sock, ("127.0.0.1", ingress.port))
                 await loop.sock_sendall(sock, request("stock-check", request_id, 1.2, customer=number + 1))
