List the agent's connections in one place, and end the reading of bodies with one error

Bodies whose reading ends early get one typed error in place of two marker exceptions; the agent's connections are listed in one place; a test covers changes of an older list behind a late answer.

--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -1119,7 +1119,7 @@
         if connection.id != state.list_connection_id or connection.since != asked_at:
             return
         if connection.id in state.connections:
-            if self._earlier_list_connections():
+            if len(self._list_connections()) > 1:
                 self._log_list_unreachable("agent not answering; serving on with the list as last told")
             state.list_connection_id = 0
             self._open_list_connection()
@@ -1129,18 +1129,17 @@
         if connection.id in self.state.connections and connection.since == asked_at:
             self._close_connection(connection, Reason.NO_RESPONSE)
 
-    def _earlier_list_connections(self) -> list[Connection]:
-        """The connections over which the agent was asked before the last one, and which may still answer."""
+    def _list_connections(self) -> list[Connection]:
+        """The connections to the discovery agent: the one over which it was asked last, and earlier ones."""
         return [
             connection
             for connection in self.state.connections.values()
             if connection.destination is effects.Destination.SERVER_LIST
-            and connection.id != self.state.list_connection_id
         ]
 
     def _close_earlier_list_connections(self, than: Connection) -> None:
         """What they could still tell is part of the answer on `than`, for which the agent was asked later."""
-        for connection in self._earlier_list_connections():
+        for connection in self._list_connections():
             if connection.id < than.id:
                 self._close_connection(connection, Reason.DONE)
 
@@ -1224,6 +1223,7 @@
         return known_version is not None and event.version >= known_version
 
     def _take_over_list(self, event: events.ServerListAnswered) -> None:
+        """Takes over an answer of the agent, which is reachable again if it was not."""
         state = self.state
         if not state.list_reachable:
             state.list_reachable = True
@@ -1316,9 +1316,8 @@
             state.server_list_address = event.server_list_address
             # Another agent may count versions differently: its complete list is asked for.
             state.list_version, state.list_refusals = None, 0
-            for connection in list(state.connections.values()):
-                if connection.destination is effects.Destination.SERVER_LIST:
-                    self._close_connection(connection, Reason.ADDRESS_CHANGED)
+            for connection in self._list_connections():
+                self._close_connection(connection, Reason.ADDRESS_CHANGED)
             self._open_list_connection()
         self.effects.append(effects.Log(
             f"reload: quota counter at {state.counter_address}, node list at {state.server_list_address}"
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -71,14 +71,6 @@
         self.status = status
 
 
-class BodyReadCancelled(Exception):
-    """Set on a body that is no longer read, as the process ends before the rest of it can arrive."""
-
-
-class BodyRefused(Exception):
-    """Set on a body for which there is no memory."""
-
-
 class PendingRequest(NamedTuple):
     """A request that waits for its answer; the future also holds the answer's body if it is streamed."""
 
@@ -474,14 +466,19 @@
         """Refuses a request of which the body is being read; it is answered with 429."""
         connection = self.connections.get(client_id)
         body = self.incomplete_bodies.get(connection) if connection is not None else None
-        if body is not None and not body.is_eof():
-            body.set_exception(BodyRefused())
+        if body is not None:
+            self._stop_reading(body, MalformedRequest(429, "no memory for its body"))
 
     def stop_reading_bodies(self) -> None:
         """Stops reading bodies of requests that have not been reported yet; they are answered with 408."""
         for body in self.incomplete_bodies.values():
-            if not body.is_eof():
-                body.set_exception(BodyReadCancelled())
+            self._stop_reading(body, MalformedRequest(408, "body arrives too late"))
+
+    @staticmethod
+    def _stop_reading(body: StreamReader, error: MalformedRequest) -> None:
+        """Ends the reading of a body with an error, unless all of it has arrived."""
+        if not body.is_eof():
+            body.set_exception(error)
 
     def answer(self, effect: AnswerClient, stream: StreamedAnswerBody | None = None) -> None:
         """Hands the answer to the pending request; `stream` is the body of a streamed answer."""
@@ -685,10 +682,8 @@
                 if size < MIN_BODY_RATE * (self.loop.time() - started - BODY_STALL_TIMEOUT):
                     raise MalformedRequest(408, "body is sent too slowly")
             return b"".join(parts), request.content.at_eof()
-        except BodyRefused:
-            raise MalformedRequest(429, "no memory for its body") from None
-        except (TimeoutError, BodyReadCancelled):
-            raise MalformedRequest(408, "body has stalled or arrives too late") from None
+        except TimeoutError:
+            raise MalformedRequest(408, "body has stalled") from None
         except (OSError, ValueError, RuntimeError, HttpProcessingError, ClientPayloadError):
             raise MalformedRequest(400, "body cannot be read") from None
         finally:
--- a/tests/test_races_server_list.py
+++ b/tests/test_races_server_list.py
@@ -226,6 +226,32 @@
     run_scene(scenario)
 
 
+def test_changes_of_an_older_list_behind_a_late_answer_are_not_lost() -> None:
+    """Guards against changes that are dropped as their version is lower than that of a late whole list."""
+
+    async def scenario() -> None:
+        async with scene(server_count=2) as running:
+            list_connection, _ = await next_list_request(running)
+            # In the kernel when the agent is asked over another connection.
+            answer_list(list_connection, 20, running.list_entry(0), running.list_entry(1), is_complete=True)
+            await list_connection.writer.drain()
+            running.pass_time(1400 * MS)
+            other, _ = await next_list_request(running)
+            await wait_until(lambda: running.state.list_version == 20)
+            answer_list(other, 9, running.list_entry(0, "terminating"))
+            await wait_until(lambda: running.state.list_version is None)
+            running.pass_time(150 * MS)
+            third, target = await next_list_request(running)
+            assert "since" not in target
+            answer_list(
+                third, 9, running.list_entry(0, "terminating"), running.list_entry(1), is_complete=True
+            )
+            await wait_until(lambda: running.state.list_version == 9)
+            await assert_forwarded_to(running, 1)
+
+    run_scene(scenario)
+
+
 def test_an_answer_that_is_slower_than_the_next_one_is_taken_over_before_it() -> None:
     async def scenario() -> None:
         async with scene(server_count=3) as running:
