--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -21,15 +21,18 @@
 
 
 @contextlib.asynccontextmanager
-async def ingress_with(script: ServerScript) -> AsyncIterator[harness.Ingress]:
-    """An ingress in front of one server, which runs `script` on each connection."""
+async def ingress_with(script: ServerScript, reader_limit: int = 2**16) -> AsyncIterator[harness.Ingress]:
+    """An ingress in front of one server, which runs `script` on each connection.
+
+    The server reads up to `reader_limit` bytes ahead of its script.
+    """
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             await script(reader, writer)
         writer.close()
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=reader_limit)
     host, port = server.sockets[0].getsockname()
     try:
         async with (
