Let waits for slow servers follow the client's time, and pass on answers that have begun

Cause: waits with constants of their own. An answer had 100 to 300 ms to go on in its first 64 KiB, was then cut off and the request sent again; one that was not complete in time was dropped although it had begun. The body of a request had 5 s to be taken by its server, whatever time its client had left, and was answered 408.

Change: a server's answer may pause as long as its client waits. When that time is up, an answer whose head has come is streamed, however little of it is there (effect StreamAnswer); a stream ends after 10 s without progress. A draining process that could not pass it on for 1 s fails it instead. While a server does not take a body, the client's time runs (RequestBodyBlocked): it is answered 504 when that is up. A body of which more than 10 MiB is unread cannot have been written; there only a server that stops reading for 10 s ends the request.

--- a/opalgauge/cores/worker.py
+++ b/opalgauge/cores/worker.py
@@ -67,6 +67,7 @@
         max_requests=max(16, min(config.max_requests // workers, clients)),
         max_clients=clients,
         memory=config.memory.per_worker(workers),
+        streams_answers=False,
         keep_alive_limit=max(4, config.keep_alive_limit // (2 * workers)),
         counter_connections=max(1, COUNTER_CONNECTIONS // workers),
     )
--- a/opalgauge/memory/buffers.py
+++ b/opalgauge/memory/buffers.py
@@ -31,6 +31,7 @@
 FIELD_MEMORY = 400  # bytes of the objects of a header field, beside its text
 HEAD_COPIES = 2  # of a head's text: raw and decoded
 REQUEST_OVERHEAD = 32 * KIB  # bytes of the objects of a request and its server's connection
+ANSWER_COPIES = 2  # of an answer that is buffered: as it was received, and parsed
 BODY_COPIES = 2  # of a request's body: one to send it again, one on its way to the server
 # A body whose start is being read, beside its bytes: what the reader and one read hold.
 BODY_READ_AHEAD = 2 * READER_LIMIT + READ_SIZE
@@ -82,7 +83,7 @@
     @property
     def answer_memory(self) -> int:
         """The bytes of an answer: what is buffered of it, and a part of that on its way to the client."""
-        return self.buffered_answer + READ_SIZE + MIN_STREAM_READ
+        return ANSWER_COPIES * self.buffered_answer + READ_SIZE + MIN_STREAM_READ
 
     def request_memory(self, body_size: int, head: int) -> int:
         """The bytes that a request takes at most until its answer has been written.
--- a/opalgauge/memory/effects.py
+++ b/opalgauge/memory/effects.py
@@ -119,6 +119,13 @@
     reason: Reason = reason_field()
 
 
+@dataclass(slots=True)
+class StreamAnswer:
+    """Stream the answer that has begun to arrive on a connection, however little of it has come."""
+
+    connection_id: int
+
+
 @dataclass(slots=True)
 class DelegateRequest:
     """Hand a request to the worker that decides about it."""
@@ -284,6 +291,7 @@
     | CallCounter
     | AskServerList
     | AnswerClient
+    | StreamAnswer
     | DelegateRequest
     | WithdrawRequest
     | CloseClient
--- a/opalgauge/memory/events.py
+++ b/opalgauge/memory/events.py
@@ -172,6 +172,26 @@
     request_id: int
 
 
+@dataclass(slots=True)
+class RequestBodyBlocked:
+    """A part of a streamed request body could not be written, because the server reads slowly.
+
+    The client is not read until it could, and may have written the last byte of its body long before.
+    """
+
+    request_id: int
+    remaining: int | None  # bytes that have not been read from the client; None: not stated
+
+
+@dataclass(slots=True)
+class RequestBodyUnblocked:
+    """The server has taken the part of a body that was blocked."""
+
+    request_id: int
+    remaining: int | None  # as it was when the part was blocked
+    size: int  # bytes of the part
+
+
 @dataclass(slots=True)
 class ClientDisconnected:
     """A client's connection has ended, whichever side closed it. Nobody waits for its request any more."""
@@ -206,6 +226,7 @@
     """A part of an answer has come, but not its last byte."""
 
     connection_id: int
+    head_complete: bool = True  # so that the answer could be streamed
 
 
 @dataclass(slots=True)
@@ -426,6 +447,8 @@
     | RequestDiscarded
     | RequestBodyEnded
     | RequestBodyStalled
+    | RequestBodyBlocked
+    | RequestBodyUnblocked
     | ConnectionOpened
     | ConnectionLost
     | ConnectionStale
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -49,6 +49,10 @@
 from starlinggap import Gateway, interface, snapshot
 
 ZERO = timedelta(0)
+# A server that reads a body more slowly (bytes/s) keeps its client from sending.
+MIN_SERVER_READ_RATE = 1024 * 1024
+MAX_UNREAD_BODY = 10 * 1024 * 1024  # bytes that the kernels of both sides hold of a body at most
+MIN_BLOCKED_TIME = timedelta(milliseconds=50)  # for which a server may pause whatever time is left
 BANS_KEY = "bans"  # of the bans in what one process hands over to the next
 MICROSECOND = timedelta(microseconds=1)
 
@@ -100,6 +104,8 @@
             events.AnswerWritten: self._answer_written,
             events.RequestBodyEnded: self._request_body_ended,
             events.RequestBodyStalled: self._request_body_stalled,
+            events.RequestBodyBlocked: self._request_body_blocked,
+            events.RequestBodyUnblocked: self._request_body_unblocked,
             events.AttemptWriteBlocked: self._attempt_write_blocked,
             events.AttemptWritten: self._attempt_written,
             events.StreamedAnswerStarted: self._streamed_answer_started,
@@ -460,6 +466,49 @@
             self._answer(event.request_id, 408, Reason.BODY_STALLED, close=True)
             self._withdraw(request)
 
+    def _request_body_blocked(self, event: events.RequestBodyBlocked) -> None:
+        """Lets the client's time run while its server does not read, if its last byte may have been written.
+
+        Otherwise the client is still sending, and only a server that has stopped reading ends the request.
+        """
+        request = self.state.requests.get(event.request_id)
+        if request is None or request.time_after_body is None:
+            return
+        request.body_blocked_at = self.now
+        wait = max(request.time_after_body, MIN_BLOCKED_TIME)
+        if not self._may_be_written(event.remaining):
+            wait = max(wait, self.config.body_read_timeout)
+        self._schedule(self.now + wait, self._blocked_body_overdue, request.id, self.now)
+
+    @staticmethod
+    def _may_be_written(remaining: int | None) -> bool:
+        """Whether a client may have written the rest of its body, of which this many bytes are unread."""
+        return remaining is None or remaining <= MAX_UNREAD_BODY
+
+    def _request_body_unblocked(self, event: events.RequestBodyUnblocked) -> None:
+        request = self.state.requests.get(event.request_id)
+        if request is None or request.time_after_body is None or request.body_blocked_at is None:
+            return
+        blocked = self.now - request.body_blocked_at
+        request.body_blocked_at = None
+        if self._may_be_written(event.remaining):
+            usual = timedelta(seconds=event.size / MIN_SERVER_READ_RATE)
+            request.time_after_body -= max(ZERO, blocked - usual)
+            if request.time_after_body <= ZERO:
+                self._end_overdue_body(request)
+
+    def _blocked_body_overdue(self, request_id: int, blocked_at: datetime) -> None:
+        request = self.state.requests.get(request_id)
+        if request is not None and request.body_blocked_at == blocked_at:
+            self._end_overdue_body(request)
+
+    def _end_overdue_body(self, request: RequestInProgress) -> None:
+        """Answers a request whose time was up before its server had read its body."""
+        self._answer(request.id, 504, Reason.OVERDUE, close=True)
+        self._withdraw(request)
+        for attempt in [a for a in self.state.attempts.values() if a.request_id == request.id]:
+            self._abort_attempt(attempt, interface.End.TIMEOUT)
+
     def _mark_client_idle(self, client_id: int) -> None:
         """The client has its answer, and may send the next request on its connection."""
         self.state.clients_idle[client_id] = self.now
@@ -756,9 +805,22 @@
             is_open = connection is not None and connection.attempt is attempt
         else:
             is_open = self.state.attempts.get((attempt.request_id, attempt.number)) is attempt
-        if is_open:
+        if is_open and not self._pass_on_late_answer(attempt):
             self._abort_attempt(attempt, interface.End.TIMEOUT)
 
+    def _pass_on_late_answer(self, attempt: Attempt) -> bool:
+        """Has an answer streamed that has begun and is not complete in time. Returns whether it will be."""
+        state, connection = self.state, self.state.connections.get(attempt.connection_id)
+        if attempt.is_probe or connection is None or not connection.answer_begun:
+            return False
+        if attempt.request_id not in state.requests or not self.config.streams_answers:
+            return False
+        schedule = state.drain_schedule
+        if schedule is not None and self.now + self.config.min_stream_time > schedule.exit:
+            return False
+        self.effects.append(effects.StreamAnswer(connection.id))
+        return True
+
     def _cancel(self, action: interface.Cancel) -> None:
         if attempt := self.state.attempts.get((action.request, action.attempt)):
             self._abort_attempt(attempt, interface.End.CANCELLED)
@@ -874,17 +936,18 @@
         if connection is None:
             return
         is_first_part, connection.answer_part_at = connection.answer_part_at is None, self.now
+        connection.answer_begun = event.head_complete
         if connection.destination is effects.Destination.SERVER_LIST:
             if is_first_part:
                 ask_again = self.now + self.config.list_answer_wait
                 self._schedule(ask_again, self._list_overdue, connection, connection.since)
-            return
-        from_server = connection.destination is effects.Destination.SERVER
-        timeout = self.config.server_stall_timeout if from_server else self.config.answer_stall_timeout
-        self._schedule(self.now + timeout, self._answer_stalled, connection, self.now)
+        elif connection.destination is effects.Destination.QUOTA_COUNTER:
+            self._schedule(
+                self.now + self.config.answer_stall_timeout, self._answer_stalled, connection, self.now
+            )
 
     def _answer_stalled(self, connection: Connection, part_at: datetime) -> None:
-        # An answer that never becomes complete would hold up its request, and counter calls behind it.
+        # An answer that never becomes complete would hold up the counter calls behind it.
         if connection.id in self.state.connections and connection.answer_part_at == part_at:
             self._close_connection(connection, Reason.ANSWER_STALLED)
             self._handle_loss(connection, events.Progress.ANSWERING)
@@ -919,6 +982,7 @@
         if connection is None:
             return
         attempt, connection.answer_part_at = connection.attempt, None
+        connection.answer_begun = False
         self._reuse_or_close(connection, event.keep_alive and attempt is not None)
         if attempt is None:
             return
@@ -934,6 +998,7 @@
         if connection is None:
             return
         attempt, connection.answer_part_at = connection.attempt, None
+        connection.answer_begun = False
         if attempt is None or attempt.is_probe or attempt.request_id not in self.state.requests:
             # Nobody waits for it.
             self._close_connection(connection, Reason.CANCELLED)
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -35,11 +35,13 @@
     memory: MemoryLimits = MemoryLimits.of_process(192 * MIB)  # until it has been measured
     uses_leases: bool = False  # the gateway's counts go to the lease holder and not to the counter
     watches_zones: bool = False  # attempts and lists are reported to the zone watch
+    streams_answers: bool = True  # those that are not complete in time; workers cannot
     max_bans: int = 1000  # banned servers
     # How long a client may be connected without sending a byte of its first request.
     first_request_timeout: timedelta = timedelta(milliseconds=2100)
     head_timeout: timedelta = timedelta(milliseconds=2450)  # from a head's first byte to its last
     body_timeout: timedelta = timedelta(minutes=10)  # for a streamed request body that never stalls
+    body_read_timeout: timedelta = timedelta(seconds=10)  # for a server that has stopped reading a long body
     keep_alive_timeout: timedelta = timedelta(milliseconds=2100)  # from an answer to the next request
     # With `max_clients` connected, a new client takes the place of one that has sent nothing within
     # `min_first_request_wait`, in which a request can arrive behind its connection; else of one that has been
@@ -51,7 +53,6 @@
     counter_connections: int = 16
     counter_pipeline_limit: int = 256  # unanswered calls on one connection
     answer_stall_timeout: timedelta = timedelta(milliseconds=100)  # between parts of a counter's answer
-    server_stall_timeout: timedelta = timedelta(milliseconds=300)  # between parts of a server's answer
     # A connection to a server is not used again so soon after its answer: a second answer may still be on its
     # way, and would be taken for the answer to the next request.
     reuse_delay: timedelta = timedelta(milliseconds=25)
@@ -73,6 +74,8 @@
     list_fleet_turn: timedelta = timedelta(0)
     gateway_margin: timedelta = timedelta(milliseconds=25)  # the gateway gets so much less time
     wake_up_slack: timedelta = timedelta(milliseconds=3)  # a timer may be due so long before its wake-up
+    # An answer that is not complete in time is not passed on if a drain ends so soon: it would be cut off.
+    min_stream_time: timedelta = timedelta(seconds=1)
     fallback_margin: timedelta = timedelta(milliseconds=10)  # the reducer answers by itself so early
 
 
@@ -146,6 +149,7 @@
     attempt: Attempt | None = None
     since: datetime | None = None  # to a server: idle since; to the discovery agent: when it was asked
     answer_part_at: datetime | None = None  # when the last part of an incomplete answer came
+    answer_begun: bool = False  # the head of an incomplete answer has come
     streaming_request_id: int = 0  # the request whose streamed answer comes over it
     queued_calls: deque[CounterCall] = field(default_factory=deque)  # counter calls until it is open
     unanswered_calls: deque[CounterCall] = field(default_factory=deque)  # counter calls, the oldest first
@@ -168,6 +172,7 @@
     open_attempts: int = 0
     # While its body is still coming: the time left once the last byte has come. None: the body is complete.
     time_after_body: timedelta | None = None
+    body_blocked_at: datetime | None = None  # since when its server does not read on
     body_streamed: bool = False  # its body went beyond what is buffered, and cannot be sent a second time
     may_have_run: bool = False
     repeat_until: datetime | None = None  # set once it may have run: no attempt starts later
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -51,7 +51,7 @@
 BACKLOG = 512  # length of the listening socket's accept queue
 BODY_STALL_TIMEOUT = 2.2  # s without a byte after which a client has stopped sending its body
 MIN_BODY_RATE = 4096  # bytes/s, averaged over a body: a slower client would hold a connection for nothing
-SERVER_STALL_TIMEOUT = 5.0  # s without progress after which a server has stopped sending or reading a body
+SERVER_STALL_TIMEOUT = 10.0  # s without progress after which a server has stopped sending an answer
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 ACCOUNT_LIMIT = 2**33  # accounts are numbered below this
 CLOSE_POLL_INTERVAL = 0.01  # s between checks of what is left to finish in `Clients.close`
--- a/opalgauge/wire/runtime.py
+++ b/opalgauge/wire/runtime.py
@@ -19,13 +19,15 @@
     ConnectionStale,
     Event,
     Progress,
+    RequestBodyBlocked,
     RequestBodyEnded,
     RequestBodyStalled,
+    RequestBodyUnblocked,
     WakeUpDue,
 )
 from opalgauge.memory.reducer import Reducer
 from opalgauge.wire import quota_counter, server_codec
-from opalgauge.wire.clients import BODY_STALL_TIMEOUT, SERVER_STALL_TIMEOUT, Clients
+from opalgauge.wire.clients import BODY_STALL_TIMEOUT, Clients
 from opalgauge.wire.read_limiter import ReadLimiter
 from opalgauge.wire.recorder import Recorder
 from opalgauge.wire.server_list import ServerListReader, encode_list_request
@@ -84,6 +86,7 @@
                 e.connection_id, encode_list_request(e.since_version, e.wait)
             ),
             effects.AnswerClient: self._answer_client,
+            effects.StreamAnswer: self._stream_answer,
             effects.CloseClient: self._close_client,
             effects.AbortClient: lambda e: self.clients.abort(e.client_id) if self.clients else None,
             effects.RefuseIncomplete: lambda e: (
@@ -175,6 +178,7 @@
             parse_reply, max_body = self.server_list_reader.parse_reply, MAX_SERVER_LIST
         else:
             parse_reply = self._parse_server_reply
+            max_body = self.reducer.state.memory.buffered_answer
             parse_stream_start = server_codec.parse_stream_start if self.stream_bodies else None
         connection = UpstreamConnection(
             effect.connection_id,
@@ -264,10 +268,12 @@
                     # Its end was behind the body: the attempt must not become complete.
                     self.report(ClientDisconnected(client_id))
                     return
-                async with asyncio.timeout(SERVER_STALL_TIMEOUT):
-                    await connection.send_body_part(server_codec.encode_chunk(data) if chunked else data)
+                length = effect.http_request.body_length
+                remaining = None if length is None else length - sent
+                part = server_codec.encode_chunk(data) if chunked else data
+                await self._write_body_part(effect.request_id, connection, part, remaining)
             if chunked:
-                await connection.send_body_part(server_codec.LAST_CHUNK)
+                await self._write_body_part(effect.request_id, connection, server_codec.LAST_CHUNK, 0)
             self.report(RequestBodyEnded(effect.request_id))
             connection.finish_body()
         except TimeoutError:
@@ -278,6 +284,20 @@
         finally:
             self.body_tasks.pop(effect.connection_id, None)
 
+    async def _write_body_part(
+        self, request_id: int, connection: UpstreamConnection, data: bytes, remaining: int | None
+    ) -> None:
+        """Writes a part of a streamed body; reports if the server does not take it at once."""
+        if connection.write_body_part(data):
+            return
+        self.report(RequestBodyBlocked(request_id, remaining))
+        await connection.wait_until_written()
+        self.report(RequestBodyUnblocked(request_id, remaining, len(data)))
+
+    def _stream_answer(self, effect: effects.StreamAnswer) -> None:
+        if connection := self.connections.get(effect.connection_id):
+            connection.stream_answer()
+
     def _write(self, connection_id: int, data: bytes) -> None:
         if connection := self.connections.get(connection_id):
             connection.send(data)
--- a/opalgauge/wire/upstream.py
+++ b/opalgauge/wire/upstream.py
@@ -94,7 +94,7 @@
         self.sending_body = self.written_event_due = False
         self.parser = self._new_parser()
         self.progress = Progress.CONNECTING
-        self.closed = self.used = self.was_partial = False
+        self.closed = self.used = self.was_partial = self.head_reported = False
         self.pending_answers = 0  # requests sent and not answered
         self.last_partial_at = 0.0  # loop time of the last `AnswerPartReceived`
         self.incomplete_answers: deque[ParsedAnswer] = deque()
@@ -199,10 +199,13 @@
         if unbounded or body is not None and body.exception() is not None:
             self._fail()  # an endless head or body, or malformed chunks
         elif partial and (
-            not self.was_partial or self._loop.time() - self.last_partial_at > PARTIAL_REPORT_INTERVAL
+            not self.was_partial
+            or body is not None
+            and not self.head_reported
+            or self._loop.time() - self.last_partial_at > PARTIAL_REPORT_INTERVAL
         ):
-            self.last_partial_at = self._loop.time()
-            self.report(AnswerPartReceived(self.connection_id))
+            self.last_partial_at, self.head_reported = self._loop.time(), body is not None
+            self.report(AnswerPartReceived(self.connection_id, self.head_reported))
         self.was_partial = partial
 
     def _must_stream(self, message: RawResponseMessage, body: StreamReader) -> bool:
@@ -351,6 +354,23 @@
         self._fail()
 
     # --- calls of the runtime ------------------------------------------------------------------------------
+    def stream_answer(self) -> None:
+        """Streams an answer whose head has come, however little of its body has; an error is reported."""
+        if not self.closed and self.stream is None and self.incomplete_answers:
+            self._start_stream(*self.incomplete_answers.popleft())
+
+    def write_body_part(self, data: bytes) -> bool:
+        """Writes the next part of a streamed body. Returns whether the kernel has taken all of it."""
+        if self.closed or self.transport is None:
+            return True
+        self.transport.write(data)
+        return not self._paused
+
+    async def wait_until_written(self) -> None:
+        """Waits until the kernel has taken what was written."""
+        if not self.closed and self.transport is not None:
+            await self._drain_helper()
+
     def send(self, data: bytes) -> None:
         """Writes a request, or its start if `sending_body` is set; reports a stale connection instead."""
         if self.closed or self.transport is None:
@@ -371,12 +391,6 @@
             self.written_event_due = True
             self.report(AttemptWriteBlocked(self.connection_id))
 
-    async def send_body_part(self, data: bytes) -> None:
-        """Writes the next part of a streamed body. Returns when there is room for another."""
-        if not self.closed and self.transport is not None:
-            self.transport.write(data)
-            await self._drain_helper()
-
     def finish_body(self) -> None:
         """Ends a streamed body: all of it has been handed to the transport."""
         self.sending_body = False
--- a/tests/test_long_bodies.py
+++ b/tests/test_long_bodies.py
@@ -28,9 +28,11 @@
     """
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            await script(reader, writer)
-        writer.close()
+        try:
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                await script(reader, writer)
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=reader_limit)
     host, port = server.sockets[0].getsockname()
@@ -377,6 +379,32 @@
         rig.pass_time(timedelta(milliseconds=100))
         assert rig.answers[-1].status == 504
 
+    def test_a_server_that_does_not_read_a_body_takes_the_time_of_its_client(self) -> None:
+        """Guards against an answer that waits for a server which reads a body slowly, or not at all."""
+        rig = ReducerRig()
+        request_id = self.start_streamed_request(rig)
+        connection_id = rig.last_attempt().connection_id
+        for _ in range(3):
+            rig.step(events.RequestBodyBlocked(request_id, 10_000))
+            rig.pass_time(timedelta(milliseconds=600))
+            rig.step(events.RequestBodyUnblocked(request_id, 10_000, 0))
+            rig.pass_time(timedelta(seconds=5))  # the client sends nothing
+        assert not rig.answers
+        rig.step(events.RequestBodyBlocked(request_id, None))
+        rig.pass_time(timedelta(milliseconds=210))
+        assert rig.answers[-1].status == 504 and rig.answers[-1].close_connection
+        assert effects.CloseConnection(connection_id) in rig.effects
+
+    def test_a_client_that_cannot_have_written_its_body_keeps_its_time(self) -> None:
+        rig = ReducerRig()
+        request_id = self.start_streamed_request(rig)
+        rig.step(events.RequestBodyBlocked(request_id, 30 * MB))
+        rig.pass_time(timedelta(seconds=9))
+        rig.step(events.RequestBodyUnblocked(request_id, 30 * MB, 0))
+        rig.step(events.RequestBodyEnded(request_id))
+        rig.pass_time(timedelta(milliseconds=1900))
+        assert not rig.answers
+
     def test_an_incomplete_body_is_never_resent(self) -> None:
         rig = ReducerRig()
         self.start_streamed_request(rig)
