Bound what many short requests and ever new accounts leave behind

Cause: accounts were kept for 15 to 60 s however many there were; a request left its timers in the queue until they were due (9 s for each use of a connection) and a cycle of request and attempts until a full garbage collection. Beside it: what arrived behind a head before its body was granted memory was read, and 16 KiB copies for bytes that are dropped broke up the heap.

Change: the table of accounts is bounded by the memory limit; the longest unseen go first, none within a second of its last request. A process that dropped one whose part of the ceiling was spent gives new ones no more than has been refilled since. Timers of requests, attempts and counter calls are cancelled with them (memory/timers.py), an idle connection has one. Requests that are over let go of their attempts. A body is read once it has been granted memory. Reads of heads take 1 KiB, a connection is charged 16 KiB.

Not mended: 330 clients that come back again and again with bodies in chunks of one byte take 36 to 37 of 32 MB.

--- a/opalgauge/lifecycle/native.py
+++ b/opalgauge/lifecycle/native.py
@@ -20,7 +20,7 @@
 ROOT = Path(__file__).parent.parent.parent
 COMPILED = {
     "starlinggap": ("interface", "quota", "slow_start", "brain", "snapshot"),
-    "opalgauge.memory": ("events", "effects", "drain", "state", "reducer"),
+    "opalgauge.memory": ("events", "effects", "drain", "timers", "state", "reducer"),
 }
 DISABLE_VARIABLE = "OPALGAUGE_PLAIN"  # environment variable; if set, the plain modules are used
 
--- a/opalgauge/lifecycle/service.py
+++ b/opalgauge/lifecycle/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import signal
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
@@ -214,6 +215,8 @@
 
 def apply_memory_limits(process_limit: int, runtime: Runtime, clients: Clients) -> None:
     """Divides what this process, which serves nobody yet, leaves of its memory limit (bytes)."""
+    gc.collect()
+    gc.freeze()  # later collections look at what requests leave behind, and not at the program itself
     idle = measure_memory()
     if idle is None:
         return
--- a/opalgauge/memory/buffers.py
+++ b/opalgauge/memory/buffers.py
@@ -10,7 +10,7 @@
 KIB, MIB = 1024, 1024 * 1024
 MAX_BUFFERED_BODY = 64 * KIB  # bytes of a body that are buffered; longer ones are streamed
 READ_SIZE = 16 * KIB  # bytes that one read takes of a buffered body at most
-HEAD_READ_SIZE = 4 * KIB  # bytes that one read takes of a client's connection while no body is being read
+HEAD_READ_SIZE = 1 * KIB  # bytes that one read takes of a client's connection while no body is being read
 PIPELINED_READ_SIZE = 1 * KIB  # the same while a request is open on the connection
 MIN_STREAM_READ = 8 * KIB  # bytes that one read takes of a streamed body at most, if memory is short
 MAX_STREAM_READ = 64 * KIB  # the same if there is memory to spare
@@ -21,13 +21,15 @@
 IDLE_ANONYMOUS, IDLE_MAPPED = 26 * MIB, 16 * MIB
 # The system can reclaim mapped files. They are counted only where as much is left beside them.
 MIN_LEFT_BESIDE_FILES = 16 * MIB
-RESERVE_DIVISOR = 8  # the part of what is left that fragmentation and tables may take
+RESERVE_DIVISOR = 8  # the part of what is left that fragmentation and small tables may take
+ACCOUNTS_DIVISOR = 8  # the part of what is left that the table of accounts may take
+ACCOUNT_MEMORY = 1 * KIB  # bytes of what is known of an account
 MIN_REQUEST_MEMORY = 1 * MIB  # bytes for clients, however small the limit of the process
 SMALL_PROCESS = 32 * MIB  # bytes left for clients below which answers are buffered less
 CLIENT_SHARE = 7 / 8  # of the memory for clients: the most that connections alone may take
 
 # A client's connection: its objects, and what is read from it unasked.
-CONNECTION_MEMORY = 10 * KIB + HEAD_READ_SIZE + PIPELINED_READ_SIZE
+CONNECTION_MEMORY = 14 * KIB + HEAD_READ_SIZE + PIPELINED_READ_SIZE
 FIELD_MEMORY = 400  # bytes of the objects of a header field, beside its text
 HEAD_COPIES = 2  # of a head's text: raw and decoded
 REQUEST_OVERHEAD = 32 * KIB  # bytes of the objects of a request and its server's connection
@@ -63,17 +65,20 @@
     requests: int  # for clients' connections, their requests, and bodies that are being read
     stream_reads: int  # for reads of streamed bodies that take more than MIN_STREAM_READ
     buffered_answer: int = MAX_BUFFERED_BODY  # of an answer: what is buffered before it is streamed
+    max_accounts: int = 10_000  # that are kept beyond a second
 
     @classmethod
     def of_process(cls, process_limit: int, idle: ProcessMemory = ProcessMemory()) -> MemoryLimits:
         """Divides what a process with this limit has beside its own needs."""
         beside_files = process_limit - idle.anonymous - idle.mapped
         left = max(beside_files, min(process_limit - idle.anonymous, MIN_LEFT_BESIDE_FILES))
-        available = max(MIN_REQUEST_MEMORY, left - left // RESERVE_DIVISOR)
-        stream_reads = available // STREAM_READ_DIVISOR
+        accounts = max(0, left) // ACCOUNTS_DIVISOR
+        available = max(MIN_REQUEST_MEMORY, left - left // RESERVE_DIVISOR - accounts)
+        max_accounts = accounts // ACCOUNT_MEMORY
         if available < SMALL_PROCESS:
-            return cls(available, 0, READ_SIZE)
-        return cls(available - stream_reads, stream_reads)
+            return cls(available, 0, READ_SIZE, max_accounts)
+        stream_reads = available // STREAM_READ_DIVISOR
+        return cls(available - stream_reads, stream_reads, max_accounts=max_accounts)
 
     @property
     def max_connections(self) -> int:
@@ -94,4 +99,9 @@
 
     def per_worker(self, workers: int) -> MemoryLimits:
         """The part of one of several worker processes."""
-        return MemoryLimits(self.requests // workers, self.stream_reads // workers, self.buffered_answer)
+        return MemoryLimits(
+            self.requests // workers,
+            self.stream_reads // workers,
+            self.buffered_answer,
+            self.max_accounts // workers,
+        )
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -22,7 +22,6 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections.abc import Callable
 from dataclasses import replace
@@ -46,6 +45,7 @@
     Statistics,
     StatusReport,
 )
+from opalgauge.memory.timers import Timer, TimerQueue
 from starlinggap import Gateway, interface, snapshot
 
 ZERO = timedelta(0)
@@ -81,10 +81,9 @@
         self.now = datetime.fromtimestamp(0, UTC)
         self.effects: list[effects.Effect] = []  # of the current step
         self.gateway_events: list[interface.Event] = []  # that the gateway has not seen yet
-        # A heap of time, number, callback and its arguments. Timers of the same time run in the order of
-        # their numbers. A timer is not cancelled: its callback checks whether it still applies.
-        self.timers: list[tuple[datetime, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.timer_count = 0
+        # Timers of requests, attempts and counter calls are cancelled when those end, so that many short
+        # requests leave nothing behind. Other timers check whether they still apply.
+        self.timers = TimerQueue()
         self.wake_up_at: datetime | None = None  # the time of the last WakeAt, until it has come
         self.event_handlers: dict[type, Callable[[Any], None]] = {
             events.RequestReceived: self._request_received,
@@ -184,24 +183,24 @@
             self.effects.append(effects.Exit())
         # Due timers run at the next event, and the wake-up comes a little later than the earliest of them:
         # often an event comes first, and most timers no longer apply when they are due.
-        if self.timers and (
-            self.wake_up_at is None or self.timers[0][0] + self.config.wake_up_slack < self.wake_up_at
-        ):
-            self.wake_up_at = self.timers[0][0] + self.config.wake_up_slack
+        due = self.timers.next_due()
+        if due is not None and (self.wake_up_at is None or due + self.config.wake_up_slack < self.wake_up_at):
+            self.wake_up_at = due + self.config.wake_up_slack
             self.effects.append(effects.WakeAt(self.wake_up_at))
         step_effects, self.effects = self.effects, []
         return step_effects
 
     # --- time ----------------------------------------------------------------------------------------------
-    def _schedule(self, when: datetime, callback: Callable[..., None], *args: Any) -> None:
-        """Calls `callback` in the first step at or after `when`."""
-        self.timer_count += 1
-        heapq.heappush(self.timers, (when, self.timer_count, callback, args))
+    def _schedule(self, when: datetime, callback: Callable[..., None], *args: Any) -> Timer:
+        """Calls `callback` in the first step at or after `when`, unless the timer is cancelled."""
+        return self.timers.add(when, callback, args)
 
     def _run_due_timers(self) -> None:
-        while self.timers and self.timers[0][0] <= self.now:
-            callback, args = heapq.heappop(self.timers)[2:]
-            callback(*args)
+        while (timer := self.timers.pop_due(self.now)) is not None:
+            callback, args = timer.callback, timer.args
+            timer.callback, timer.args = None, ()
+            if callback is not None:
+                callback(*args)
 
     def _wake_up_due(self, _: events.WakeUpDue) -> None:
         """The due timers have run before, as in every step."""
@@ -321,7 +320,9 @@
         state.memory_in_use += memory
         state.clients_waiting[event.client_id] = event.request_id
         # The client gets an answer even if the gateway decides nothing.
-        self._schedule(answer_by, self._request_overdue, event.request_id)
+        state.requests[event.request_id].overdue_timer = self._schedule(
+            answer_by, self._request_overdue, event.request_id
+        )
         return budget
 
     def _has_memory(self, needed: int) -> bool:
@@ -332,6 +333,7 @@
 
     def _memory_measured(self, event: events.MemoryMeasured) -> None:
         self.state.memory = event.limits
+        self.gateway.max_accounts = event.limits.max_accounts
 
     def _remove_request(self, request_id: int) -> RequestInProgress | None:
         """Takes a request out of the state."""
@@ -340,6 +342,7 @@
         if request is not None:
             state.open_correlation_ids.discard(request.http_request.correlation_id)
             state.memory_in_use -= request.memory
+            self.timers.cancel(request.overdue_timer)
         return request
 
     def _remove_stream(self, request_id: int) -> AnswerStream | None:
@@ -458,7 +461,8 @@
         if request is not None and request.time_after_body is not None:
             time_left, request.time_after_body = request.time_after_body, None
             request.answer_by = self._fallback_time(time_left)
-            self._schedule(request.answer_by, self._request_overdue, event.request_id)
+            self.timers.cancel(request.overdue_timer)
+            request.overdue_timer = self._schedule(request.answer_by, self._request_overdue, event.request_id)
 
     def _request_body_stalled(self, event: events.RequestBodyStalled) -> None:
         # A client that stops in the middle of its body must not hold up a server's connection.
@@ -637,7 +641,7 @@
             return
         self.state.attempts[action.request, number] = attempt
         request.open_attempts += 1
-        self._schedule(stop_at, self._attempt_timed_out, attempt)
+        attempt.timer = self._schedule(stop_at, self._attempt_timed_out, attempt)
         if self.config.watches_zones:
             self._report_attempt(attempt, request.class_index, None)
         self._assign_connection(attempt)
@@ -740,6 +744,7 @@
     ) -> None:
         """Tells the gateway how an attempt or a probe has ended. Called once for each."""
         duration = (self.now - attempt.started).total_seconds()
+        self.timers.cancel(attempt.timer)
         if self.config.watches_zones:
             self._report_attempt(attempt, 0, end)
         if attempt.is_probe:
@@ -843,7 +848,7 @@
         attempt = Attempt(0, 0, action.server, self.now, stop_at, is_probe=True)
         if self.config.watches_zones:
             self._report_attempt(attempt, 0, None)
-        self._schedule(stop_at, self._attempt_timed_out, attempt)
+        attempt.timer = self._schedule(stop_at, self._attempt_timed_out, attempt)
         self._assign_connection(attempt)
 
     # --- connections ---------------------------------------------------------------------------------------
@@ -967,15 +972,25 @@
         """Frees a connection to a server for the next attempt, and closes it before the server would."""
         connection.state, connection.attempt, connection.since = ConnectionState.IDLE, None, self.now
         self.state.idle_connections.setdefault(connection.server_id, []).append(connection.id)
-        self._schedule(
-            self.now + self.config.server_idle_timeout, self._idle_timed_out, connection.id, self.now
-        )
+        if not connection.idle_check_scheduled:
+            self._schedule_idle_check(connection, self.now)
+
+    def _schedule_idle_check(self, connection: Connection, idle_since: datetime) -> None:
+        connection.idle_check_scheduled = True
+        self._schedule(idle_since + self.config.server_idle_timeout, self._check_idle, connection.id)
 
-    def _idle_timed_out(self, connection_id: int, since: datetime) -> None:
+    def _check_idle(self, connection_id: int) -> None:
         connection = self.state.connections.get(connection_id)
-        # A request written just as the server closes the connection would end in a reset.
-        if connection is not None and connection.state is ConnectionState.IDLE and connection.since == since:
+        if connection is None:
+            return
+        connection.idle_check_scheduled = False
+        if connection.state is not ConnectionState.IDLE or connection.since is None:
+            return
+        if self.now - connection.since >= self.config.server_idle_timeout:
+            # A request written just as the server closes the connection would end in a reset.
             self._close_connection(connection, Reason.IDLE)
+        else:
+            self._schedule_idle_check(connection, connection.since)
 
     def _server_answered(self, event: events.ServerAnswered) -> None:
         connection = self.state.connections.get(event.connection_id)
@@ -1111,7 +1126,9 @@
             connection.queued_calls.append(call)
         else:
             self._write_counter_call(connection, call)
-        self._schedule(self.now + config.counter_timeout, self._counter_call_timed_out, connection, call)
+        call.timer = self._schedule(
+            self.now + config.counter_timeout, self._counter_call_timed_out, connection, call
+        )
 
     def _open_counter_connection(self, slot: int) -> Connection:
         connection = self._open_connection(effects.Destination.QUOTA_COUNTER, self.state.counter_address)
@@ -1127,6 +1144,7 @@
         """Answers the caller. Only the first answer counts: the counter's may come after a timeout."""
         if not call.answered:
             call.answered = True
+            self.timers.cancel(call.timer)
             if call.token:
                 self.effects.append(effects.ReportCounterResult(call.token, end, total))
                 return
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -11,6 +11,7 @@
 from opalgauge.memory.drain import DrainSchedule
 from opalgauge.memory.effects import Destination
 from opalgauge.memory.events import BanStatus, HttpRequest, ListedServer
+from opalgauge.memory.timers import Timer
 from starlinggap import interface
 
 
@@ -123,6 +124,7 @@
     connection_id: int = 0
     is_probe: bool = False
     written: bool = False  # its last byte has left, as far as is known
+    timer: Timer | None = None  # of its timeout
 
 
 @dataclass(slots=True)
@@ -135,6 +137,7 @@
     called_at: datetime
     answered: bool = False  # the caller has had its one answer, which may be a timeout
     token: int = 0  # of the lease holder's call; 0: the gateway's
+    timer: Timer | None = None  # of its timeout
 
 
 @dataclass(slots=True)
@@ -150,6 +153,7 @@
     since: datetime | None = None  # to a server: idle since; to the discovery agent: when it was asked
     answer_part_at: datetime | None = None  # when the last part of an incomplete answer came
     answer_begun: bool = False  # the head of an incomplete answer has come
+    idle_check_scheduled: bool = False
     streaming_request_id: int = 0  # the request whose streamed answer comes over it
     queued_calls: deque[CounterCall] = field(default_factory=deque)  # counter calls until it is open
     unanswered_calls: deque[CounterCall] = field(default_factory=deque)  # counter calls, the oldest first
@@ -177,6 +181,7 @@
     may_have_run: bool = False
     repeat_until: datetime | None = None  # set once it may have run: no attempt starts later
     timed_out: bool = False  # its last attempt did
+    overdue_timer: Timer | None = None  # of the answer at `answer_by`
 
 
 @dataclass(slots=True)
--- a/opalgauge/wire/client_connection.py
+++ b/opalgauge/wire/client_connection.py
@@ -50,7 +50,7 @@
 
     __slots__ = (
         "lingering", "dropped_bytes", "accept_delay", "max_read", "head_size", "head_fields", "pipelined",
-        "observer", "answering", "disconnect_timer",
+        "observer", "answering", "disconnect_timer", "body_held",
     )  # fmt: skip
 
     def __init__(self, manager: Any, observer: ConnectionObserver, **options: Any) -> None:
@@ -68,6 +68,7 @@
         self.max_read = HEAD_READ_SIZE
         self.head_size = self.head_fields = 0  # bytes and lines of the request that is being read
         self.pipelined = b""  # what has come behind the open request
+        self.body_held = False  # the rest of a request's body is not read until `release_reading`
         self.answering = False  # from a request's head to the last byte of its answer
         self.disconnect_timer: asyncio.TimerHandle | None = None
         # s for which the first request waited in the kernel before the connection was accepted
@@ -87,12 +88,18 @@
         if self.disconnect_timer is not None:
             self.disconnect_timer.cancel()
 
+    def drop_received(self, size: int) -> bool:
+        """Drops what arrives on a lingering connection."""
+        if not self.lingering:
+            return False
+        self.dropped_bytes += size
+        if self.dropped_bytes > MAX_LINGER_BYTES and self.transport is not None:
+            self.transport.pause_reading()  # a flooding client would use up CPU
+        return True
+
     def data_received(self, data: bytes) -> None:
         """Parses received bytes and reports a request that has begun and is not complete."""
         if self.lingering:
-            self.dropped_bytes += len(data)
-            if self.dropped_bytes > MAX_LINGER_BYTES and self.transport is not None:
-                self.transport.pause_reading()  # a flooding client would use up CPU
             return
         if data and self._has_complete_request():
             self.pipelined += data
@@ -101,6 +108,8 @@
             return
         super().data_received(data)
         self._drop_traceback()
+        if self._messages and not self._messages[-1][1].is_eof():
+            self.hold_reading()  # until there is memory for its body
         # `_waiter` cannot be used here: the first head may arrive before the handler task waits for one.
         if data and not self._messages and not self.answering and self.observer is not None:
             self.head_size += len(data)
@@ -140,7 +149,7 @@
         """Parses what has come behind the request that has been answered, and reads on."""
         if self.lingering or self.transport is None or self._force_close:
             return
-        self.max_read = HEAD_READ_SIZE
+        self.max_read, self.body_held = HEAD_READ_SIZE, False
         self.head_size = self.head_fields = 0
         if not self._has_complete_request():
             data, self.pipelined = self.pipelined, b""
@@ -185,15 +194,20 @@
 
     def hold_reading(self) -> None:
         """Reads no more of a request's body until `release_reading`."""
+        self.body_held = True
         if not self._buffer_paused:
             self._pause_reading_for_buffer()
 
     def release_reading(self, max_read: int) -> None:
         """Reads again, up to `max_read` bytes at once, unless enough requests wait already."""
-        self.max_read = max_read
+        self.max_read, self.body_held = max_read, False
         if self._buffer_paused:
             self._resume_reading_if_drained()
 
+    def _resume_reading_if_drained(self) -> None:
+        if not self.body_held:
+            super()._resume_reading_if_drained()
+
     def refuse_incomplete(self, status: int, message: str) -> None:
         """Answers a request whose head is incomplete, and drops what has come of it and still comes."""
         error = BadHttpMessage(message)
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -551,7 +551,7 @@
         await response.write_eof()
         self.report(RequestBodyStarted(client_id, BODY_READ_AHEAD))
         if isinstance(request.protocol, ClientConnection):
-            request.protocol.max_read = READ_SIZE
+            request.protocol.release_reading(READ_SIZE)
         discarded, started = 0, self.loop.time()
         try:
             while not request.content.is_eof():
@@ -624,8 +624,8 @@
         self.incomplete_bodies[request.protocol] = request.content
         try:
             self.report(RequestBodyStarted(client_id, unreported_body_memory(request.content_length)))
-            if isinstance(request.protocol, ClientConnection):
-                request.protocol.max_read = READ_SIZE
+            if isinstance(request.protocol, ClientConnection) and request.content.exception() is None:
+                request.protocol.release_reading(READ_SIZE)
             while len(received) <= MAX_BUFFERED_BODY:
                 async with asyncio.timeout(BODY_STALL_TIMEOUT):
                     data = await request.content.readany()
--- a/opalgauge/wire/read_limiter.py
+++ b/opalgauge/wire/read_limiter.py
@@ -21,6 +21,10 @@
 
     max_read: int  # bytes, 1 to MAX_STREAM_READ; it may change at any time
 
+    def drop_received(self, size: int) -> bool:
+        """Whether `size` bytes that have been read are dropped, so that they need not be copied."""
+        return False
+
 
 class ReadLimiter(asyncio.BufferedProtocol):
     """Stands between a transport and a protocol, and keeps reads to the protocol's `max_read`."""
@@ -40,7 +44,8 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Passes on what has been read."""
-        self.protocol.data_received(bytes(READ_BUFFER[:nbytes]))
+        if not self.protocol.drop_received(nbytes):
+            self.protocol.data_received(bytes(READ_BUFFER[:nbytes]))
 
     def eof_received(self) -> bool | None:
         """Passes on that the peer has stopped sending."""
--- a/starlinggap/brain.py
+++ b/starlinggap/brain.py
@@ -69,6 +69,9 @@
 
 # Others.
 ACCOUNT_IDLE_TIME = 15.0  # s for which an account not seen is kept at least: many come only once
+# An account that was seen within this time (s) is kept in any case: a counter call may be out for it.
+MIN_ACCOUNT_AGE = 1.0
+MAX_ACCOUNTS = 100_000  # kept at most, unless the caller sets another number
 HOLD_SHARE = 0.5  # of the aim: a request that no server can take is held this long, then refused
 # Ends of a counter call of which the units were added, but the total did not arrive.
 TOTAL_LOST_ENDS = (End.ERROR, End.RESET)
@@ -180,6 +183,9 @@
         self.now, self.actions = 0.0, list[Action]()
         self.started_at = math.inf  # when the first events came; infinite: none yet
         self.accounts: OrderedDict[int, Account] = OrderedDict()  # by number; the last used is the last
+        self.max_accounts = MAX_ACCOUNTS
+        # When an account was last dropped of which the part of the ceiling was not full; infinite: never.
+        self.headroom_forgotten_at = -math.inf
         self.requests, self.servers = dict[int, PendingRequest](), dict[int, Server]()
         self.ready: list[int] = []  # servers that may be chosen, sorted by id
         self.banned: dict[int, float] = {}  # since when; stands until staff lift it, listed or not
@@ -303,9 +309,9 @@
             settings.plans[event.plan % len(settings.plans)],
         )
         if account is None:
-            account = self.accounts[event.account] = Account(
-                event, plan, self.now, self.now - self.started_at
-            )
+            known_since = max(self.started_at, self.headroom_forgotten_at)
+            account = self.accounts[event.account] = Account(event, plan, self.now, self.now - known_since)
+            self.drop_excess_accounts()
         self.accounts.move_to_end(event.account)
         account.advance(self.now)
         account.seen_at = self.now
@@ -1036,7 +1042,7 @@
                 self.retry_budget -= uses_budget
                 self.dispatch(request)
         if request.final and not request.in_flight:
-            self.requests.pop(request.id, None)
+            self.forget_request(request)
         self.release_held()
 
     def record_outcome(
@@ -1098,7 +1104,12 @@
         if not request.sent:
             self.refund(request)
         if not request.in_flight:
-            self.requests.pop(request.id, None)
+            self.forget_request(request)
+
+    def forget_request(self, request: PendingRequest) -> None:
+        """Drops a request that is over, and its attempts' references to it with it."""
+        self.requests.pop(request.id, None)
+        request.attempts.clear()
 
     def safe_to_refuse(self, request: PendingRequest) -> bool:
         """Whether repeating the request does no harm, as a refusal promises."""
@@ -1142,6 +1153,30 @@
                 del self.uncounted_accounts[account.id]
                 if account.uncounted_units and self.call_share >= 1:  # if overloaded, they wait or lapse
                     self.call_counter(account, 0.0, None)
+        self.drop_idle_accounts()
+
+    def drop_excess_accounts(self) -> None:
+        """Drops accounts beyond the number that is kept, those first that have not been seen for longest.
+
+        What the counter knows of them is read again when they come back.
+        """
+        while len(self.accounts) > self.max_accounts:
+            account = next(iter(self.accounts.values()))
+            if self.now - account.seen_at < MIN_ACCOUNT_AGE:
+                return
+            self.accounts.move_to_end(account.id)
+            if account.open_attempts or account.waiting_requests:
+                account.seen_at = self.now
+                continue
+            if self.uncounted_accounts.pop(account.id, None) and account.uncounted_units:
+                self.call_counter(account, 0.0, None)
+            account.advance(self.now)
+            if account.headroom < account.plan.ceiling_burst / account.spread:
+                self.headroom_forgotten_at = self.now
+            del self.accounts[account.id]
+
+    def drop_idle_accounts(self) -> None:
+        """Drops the accounts that have not been seen for so long that a new one is as good."""
         while self.accounts:
             account = next(iter(self.accounts.values()))
             # By then all windows it knows are over and its part of the ceiling is full: a new one is as good.
--- a/tests/reducer_rig.py
+++ b/tests/reducer_rig.py
@@ -67,8 +67,8 @@
     def pass_time(self, duration: timedelta) -> None:
         """Moves the time on and runs every timer that becomes due, at its own time."""
         until = self.now + duration
-        while self.reducer.timers and self.reducer.timers[0][0] <= until:
-            self.now = max(self.now, self.reducer.timers[0][0])
+        while (due := self.reducer.timers.next_due()) is not None and due <= until:
+            self.now = max(self.now, due)
             self.step(events.WakeUpDue())
         self.now = until
 
--- a/tests/test_client_states.py
+++ b/tests/test_client_states.py
@@ -87,8 +87,8 @@
     def pass_time(self, duration: timedelta) -> None:
         """Moves the time on and runs every timer that becomes due, at its own time."""
         until = self.rig.now + duration
-        while self.rig.reducer.timers and self.rig.reducer.timers[0][0] <= until:
-            self.rig.now = max(self.rig.now, self.rig.reducer.timers[0][0])
+        while (due := self.rig.reducer.timers.next_due()) is not None and due <= until:
+            self.rig.now = max(self.rig.now, due)
             self.step(events.WakeUpDue())
         self.rig.now = until
         if self.draining and until >= self.kill_at - ANSWER_MARGIN:
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -324,7 +324,8 @@
     rig = ReducerRig()
     recorded = rig.record_gateway_events()
     rig.request(CHECK, time_left=timedelta(seconds=1))
-    due = rig.reducer.timers[0][0]
+    due = rig.reducer.timers.next_due()
+    assert due is not None
     asked = [e for e in rig.effects if isinstance(e, effects.WakeAt)][-1]
     assert due < asked.at <= due + timedelta(milliseconds=3)
     rig.now = due
