--- a/tests/test_bounded_tables.py
+++ b/tests/test_bounded_tables.py
@@ -52,7 +52,7 @@
     for timer in timers[1:-1]:
         queue.cancel(timer)
     assert len(queue.heap) <= 2 * MIN_CANCELLED
-    while (timer := queue.pop_due(START + timedelta(hours=2))) is not None:
-        assert timer.callback is not None
-        timer.callback(*timer.args)
+    while (due := queue.pop_due(START + timedelta(hours=2))) is not None:
+        assert due.callback is not None
+        due.callback(*due.args)
     assert called == [0, 3999] and queue.next_due() is None
