See that a client has left when its id comes again, and never run such a request twice

Cause: the end of a connection lies behind bytes that are not read, and was looked for every 40 ms only, not when the id came again. Once the client was seen to have left, nothing told that its request may have run.

Change: a request whose id is open makes the ingress look at the other client's connection first. Ids of requests that may not be repeated and may have run when their clients left are remembered, the last 1,000; one that comes again is answered 502.

Measured: tests/test_departed_clients.py, 18 kB unread behind the request: on both requests get 400, now 200 (safe, runs again) and 502 (unsafe, ran once). Not mended: where more is unread than the kernel takes in, the end cannot be seen. At the other process of an upgrade the ids are not known.

--- a/opalgauge/memory/effects.py
+++ b/opalgauge/memory/effects.py
@@ -33,6 +33,7 @@
     BODY_STALLED = "its body stopped"
     TOO_MANY = "too many requests or long bodies at once"
     ID_IN_USE = "its id is open already"
+    MAY_HAVE_RUN = "its client had left, and it may have run"
     WORKER_LOST = "the worker that decided is no more"
     STOPPING = "the process stops"
     CONNECTION_LIMIT = "no room for more connections"
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -53,6 +53,7 @@
 MIN_SERVER_READ_RATE = 1024 * 1024
 MAX_UNREAD_BODY = 10 * 1024 * 1024  # bytes that the kernels of both sides hold of a body at most
 MIN_BLOCKED_TIME = timedelta(milliseconds=50)  # for which a server may pause whatever time is left
+MAX_ABANDONED_IDS = 1000  # that are remembered
 BANS_KEY = "bans"  # of the bans in what one process hands over to the next
 MICROSECOND = timedelta(microseconds=1)
 
@@ -294,6 +295,10 @@
             # Another open request has this ID: the answers to the two could not be told apart.
             self._reject(event.request_id, event.client_id, 400, Reason.ID_IN_USE)
             return None
+        if http_request.correlation_id in state.abandoned_ids:
+            state.statistics.failed[event.class_index] += 1
+            self._reject(event.request_id, event.client_id, 502, Reason.MAY_HAVE_RUN)
+            return None
         request_class = config.settings.classes[event.class_index]
         # A client may claim to wait for an hour; nobody waits longer than the deadline of the class.
         time_left = min(event.time_left, timedelta(seconds=request_class.deadline))
@@ -397,8 +402,21 @@
             self._cut_stream(stream)
         if request_id is not None and (request := self._remove_request(request_id)):
             state.statistics.abandoned += 1
+            self._remember_abandoned(request)
             self._withdraw(request)
 
+    def _remember_abandoned(self, request: RequestInProgress) -> None:
+        """Keeps the id of a request that may have run: it must not run again if it comes back."""
+        sent = any(
+            attempt.written for attempt in self.state.attempts.values() if attempt.request_id == request.id
+        )
+        if request.is_safe or not (sent or request.may_have_run):
+            return
+        abandoned_ids = self.state.abandoned_ids
+        abandoned_ids[request.http_request.correlation_id] = None
+        if len(abandoned_ids) > MAX_ABANDONED_IDS:
+            del abandoned_ids[next(iter(abandoned_ids))]
+
     def _clear_client_state(self, client_id: int) -> bool:
         """Takes a client out of all states in which it owes a request or its rest.
 
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -205,6 +205,8 @@
     bans: dict[int, BanStatus] = field(default_factory=dict)  # by server: also those that were lifted
     requests: dict[int, RequestInProgress] = field(default_factory=dict)
     open_correlation_ids: set[str] = field(default_factory=set)  # of these requests
+    # Ids of requests that may have run when their clients left, and must not run twice; the oldest first.
+    abandoned_ids: dict[str, None] = field(default_factory=dict)
     memory: MemoryLimits = MemoryLimits.of_process(192 * MIB)
     memory_in_use: int = 0  # bytes that requests, begun ones included, and answers take at most
     # Each client's connection is in one of the six collections `clients_…`. Times say since when; the
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -217,6 +217,7 @@
         self.catalog, self.report, self.is_ready = catalog, report, is_ready
         self.on_request_over: Callable[[int], None] | None = None  # called when a request no longer waits
         self.pending: dict[int, PendingRequest] = {}  # by request id
+        self.pending_ids: dict[str, int] = {}  # their request ids, by correlation id
         self.connections: dict[int, RequestHandler] = {}
         self.client_ids: dict[RequestHandler, int] = {}
         self.incomplete_bodies: dict[RequestHandler, StreamReader] = {}  # bodies that are being read
@@ -397,6 +398,12 @@
         disconnected = transport is None or transport.is_closing() or is_closed_by_peer(transport)
         return self.client_ids.get(connection) if disconnected else None
 
+    def _notice_departed_client(self, correlation_id: str) -> None:
+        """Reports the disconnect of a client that has a request open under this id, if it has closed."""
+        request_id = self.pending_ids.get(correlation_id)
+        if request_id is not None and (client_id := self.disconnected_client(request_id)) is not None:
+            self.report(ClientDisconnected(client_id))
+
     def abort(self, client_id: int) -> None:
         """Aborts a connection in the middle of an answer."""
         connection = self.connections.get(client_id)
@@ -503,6 +510,9 @@
         pending = self.pending[received.request_id] = PendingRequest(
             self.loop.create_future(), request.protocol
         )
+        correlation_id = received.http_request.correlation_id
+        self._notice_departed_client(correlation_id)
+        self.pending_ids[correlation_id] = received.request_id
         self.busy_connections.add(request.protocol)
         self._prepare_for_answer(request, complete)
         try:
@@ -513,6 +523,8 @@
         finally:
             received.http_request.body = b""  # not kept while the answer is written and the rest is dropped
             del self.pending[received.request_id]
+            if self.pending_ids.get(correlation_id) == received.request_id:
+                del self.pending_ids[correlation_id]
             if streamed_body := self.streamed_bodies.pop(received.request_id, None):
                 streamed_body.close()
             if self.on_request_over is not None:
