Pass on a late answer only while its server writes it, and record what memory refuses

Cause: an answer that has begun cannot be told from one that never becomes whole.

Change: a late answer is passed on if two parts of it have come, the last within 0.7 s; otherwise the request is failed in time. The record shows refusals for memory, blocked bodies and answers, late answers; one log line says when memory is full. Eight connections are accepted in a turn of the loop, not 64: closed ones were let go more slowly than new ones came.

--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -53,6 +53,7 @@
 MIN_SERVER_READ_RATE = 1024 * 1024
 MAX_UNREAD_BODY = 10 * 1024 * 1024  # bytes that the kernels of both sides hold of a body at most
 MIN_BLOCKED_TIME = timedelta(milliseconds=50)  # for which a server may pause whatever time is left
+MIN_ANSWER_PARTS = 2  # after which a server is taken to be writing an answer
 MAX_ABANDONED_IDS = 1000  # that are remembered
 BANS_KEY = "bans"  # of the bans in what one process hands over to the next
 MICROSECOND = timedelta(microseconds=1)
@@ -334,7 +335,15 @@
         """Whether there is memory for so many bytes, beside what requests and bodies may still take."""
         state = self.state
         in_use = state.memory_in_use + CONNECTION_MEMORY * state.client_count
-        return in_use + needed <= state.memory.requests
+        has_memory = in_use + needed <= state.memory.requests
+        if not has_memory and not state.memory_full:
+            state.memory_full = True
+            limit = f"{in_use} of {state.memory.requests} bytes for clients are taken"
+            self.effects.append(effects.Log(f"memory: full, refusing what has no room; {limit}"))
+        elif state.memory_full and in_use < state.memory.requests // 2:
+            state.memory_full = False
+            self.effects.append(effects.Log("memory: room again"))
+        return has_memory
 
     def _memory_measured(self, event: events.MemoryMeasured) -> None:
         self.state.memory = event.limits
@@ -834,8 +843,11 @@
     def _pass_on_late_answer(self, attempt: Attempt) -> bool:
         """Has an answer streamed that has begun and is not complete in time. Returns whether it will be."""
         state, connection = self.state, self.state.connections.get(attempt.connection_id)
-        if attempt.is_probe or connection is None or not connection.answer_begun:
+        if attempt.is_probe or connection is None or connection.answer_part_at is None:
             return False
+        pause = self.now - connection.answer_part_at
+        if connection.answer_parts < MIN_ANSWER_PARTS or pause > self.config.max_answer_pause:
+            return False  # it may never become whole, and its client would have no answer in time
         if attempt.request_id not in state.requests or not self.config.streams_answers:
             return False
         schedule = state.drain_schedule
@@ -959,7 +971,7 @@
         if connection is None:
             return
         is_first_part, connection.answer_part_at = connection.answer_part_at is None, self.now
-        connection.answer_begun = event.head_complete
+        connection.answer_parts += event.head_complete
         if connection.destination is effects.Destination.SERVER_LIST:
             if is_first_part:
                 ask_again = self.now + self.config.list_answer_wait
@@ -1015,7 +1027,7 @@
         if connection is None:
             return
         attempt, connection.answer_part_at = connection.attempt, None
-        connection.answer_begun = False
+        connection.answer_parts = 0
         self._reuse_or_close(connection, event.keep_alive and attempt is not None)
         if attempt is None:
             return
@@ -1031,7 +1043,7 @@
         if connection is None:
             return
         attempt, connection.answer_part_at = connection.attempt, None
-        connection.answer_begun = False
+        connection.answer_parts = 0
         if attempt is None or attempt.is_probe or attempt.request_id not in self.state.requests:
             # Nobody waits for it.
             self._close_connection(connection, Reason.CANCELLED)
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -75,6 +75,9 @@
     list_fleet_turn: timedelta = timedelta(0)
     gateway_margin: timedelta = timedelta(milliseconds=25)  # the gateway gets so much less time
     wake_up_slack: timedelta = timedelta(milliseconds=3)  # a timer may be due so long before its wake-up
+    # An answer that is not complete in time is passed on if its server is writing it: its last part is not
+    # older than this.
+    max_answer_pause: timedelta = timedelta(milliseconds=700)
     # An answer that is not complete in time is not passed on if a drain ends so soon: it would be cut off.
     min_stream_time: timedelta = timedelta(seconds=1)
     fallback_margin: timedelta = timedelta(milliseconds=10)  # the reducer answers by itself so early
@@ -152,7 +155,7 @@
     attempt: Attempt | None = None
     since: datetime | None = None  # to a server: idle since; to the discovery agent: when it was asked
     answer_part_at: datetime | None = None  # when the last part of an incomplete answer came
-    answer_begun: bool = False  # the head of an incomplete answer has come
+    answer_parts: int = 0  # reported since the head of an incomplete answer has come
     idle_check_scheduled: bool = False
     streaming_request_id: int = 0  # the request whose streamed answer comes over it
     queued_calls: deque[CounterCall] = field(default_factory=deque)  # counter calls until it is open
@@ -209,6 +212,7 @@
     abandoned_ids: dict[str, None] = field(default_factory=dict)
     memory: MemoryLimits = MemoryLimits.of_process(192 * MIB)
     memory_in_use: int = 0  # bytes that requests, begun ones included, and answers take at most
+    memory_full: bool = False  # something was refused for want of memory; a change is logged
     # Each client's connection is in one of the six collections `clients_…`. Times say since when; the
     # dictionaries that have them are in their order.
     clients_new: dict[int, datetime] = field(default_factory=dict)  # nothing of a request has come
--- a/opalgauge/wire/listener.py
+++ b/opalgauge/wire/listener.py
@@ -14,7 +14,7 @@
 
 from opalgauge.wire.socket_state import last_data_age
 
-MAX_ACCEPTS_PER_TURN = 64  # connections per loop iteration, so that other work has its turn
+MAX_ACCEPTS_PER_TURN = 8  # connections per loop iteration, so that other work has its turn
 MAX_ABORTS_PER_TURN = 16  # connections per loop iteration that were closed before they were accepted
 ACCEPT_RETRY_DELAY = 0.02  # s after a failed `accept`: retrying at once would use up the core
 
--- a/opalgauge/wire/recorder.py
+++ b/opalgauge/wire/recorder.py
@@ -48,7 +48,18 @@
     events.ClientConnected: _format("client {} connected", "client_id"),
     events.ClientDisconnected: _format("client {} gone", "client_id"),
     events.RequestHeadStarted: _format("client {}: a request begins", "client_id"),
-    events.RequestBodyStarted: _format("client {}: a body comes", "client_id"),
+    events.RequestBodyStarted: _format("client {}: a body comes, {} bytes at most", "client_id", "memory"),
+    events.RequestBodyBlocked: _format(
+        "request {}: its server does not read, {} bytes left", "request_id", "remaining"
+    ),
+    events.RequestBodyStalled: _format("request {}: its body stalled", "request_id"),
+    events.RequestDiscarded: _format("client {}: a request was answered unread", "client_id"),
+    events.AnswerBlocked: _format("client {}: does not read, {} bytes wait", "client_id", "size"),
+    events.AnswerWritten: _format("client {}: has read its answer", "client_id"),
+    events.AnswerPartReceived: _format(
+        "connection {} answers in parts, head whole {}", "connection_id", "head_complete"
+    ),
+    events.MemoryMeasured: _format("memory: {} bytes for clients", "limits.requests"),
     events.ConnectionOpened: _format("connection {} up", "connection_id"),
     events.ConnectionLost: _format("connection {} ended by the other side, {}", "connection_id", "progress"),
     events.ConnectionStale: _format("connection {} was over before it was used", "connection_id"),
@@ -67,6 +78,8 @@
     effects.AnswerClient: _format(
         "request {} answered {}: {}, last {}", "request_id", "status", "reason", "close_connection",
     ),
+    effects.RefuseIncomplete: _format("client {} refused, no memory", "client_id"),
+    effects.StreamAnswer: _format("connection {}: its late answer is passed on", "connection_id"),
     effects.CloseClient: _format("client {} closed: {}", "client_id", "reason"),
     effects.AbortClient: _format("client {} cut off", "client_id"),
     effects.StopReadingBodies: _format("bodies that have not come are answered"),
