Count accepted connections in a turn, not tries, so that failing accepts wait

What callers saw: nothing in service; with an accept that fails with ECONNABORTED again and again made the process spin.

Cause: accepts 8 connections in a turn, and a failed try counted as one of them; the pause comes after 16 failed tries, which no turn reached any more. The whole test run found it.

Change: the turn ends after 8 accepted connections; failed tries are counted apart, as before.

Measured: test_a_failing_accept_delays_a_client_and_loses_none[ECONNABORTED] fails on ('it spins'), passes now; test_system_calls.py and test_sockets.py pass, 51 tests.

--- a/opalgauge/wire/listener.py
+++ b/opalgauge/wire/listener.py
@@ -69,8 +69,8 @@
 
     def _accept(self) -> None:
         """Accepts the waiting connections; closes the socket after the last one if it is being closed."""
-        aborted = 0
-        for _ in range(MAX_ACCEPTS_PER_TURN):
+        accepted_count = aborted = 0
+        while accepted_count < MAX_ACCEPTS_PER_TURN:
             try:
                 accepted, _address = self.listen_socket.accept()
             except BlockingIOError:
@@ -87,6 +87,7 @@
             except OSError:
                 self._retry_later()
                 return
+            accepted_count += 1
             accepted.setblocking(False)
             self.on_accepted(accepted, self._accept_delay(accepted))
         if self.closing:
