Give the ceiling's test settings of its own

What was seen: test_a_late_counter_answer_is_not_taken_for_the_next_call timed out in two whole runs of the suite, and never alone.

It was not the timers.

Change: the test replaces the plans in a copy. Its assertions are the same.

Measured: the two files in one run: fails before (TimeoutError), passes after.

--- a/tests/test_bounded_tables.py
+++ b/tests/test_bounded_tables.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from datetime import timedelta
 
 from opalgauge.memory import events
 from opalgauge.memory.buffers import MIB, MemoryLimits, ProcessMemory
 from opalgauge.memory.timers import MIN_CANCELLED, TimerQueue
 from starlinggap import interface
-from tests.reducer_rig import CHECK, START, ReducerRig
+from tests.reducer_rig import CHECK, SETTINGS, START, ReducerRig
 
 
 def test_ever_new_accounts_do_not_fill_the_memory() -> None:
@@ -30,11 +31,10 @@
 
 def test_an_account_that_was_dropped_early_gets_no_new_part_of_its_ceiling() -> None:
     """Guards against a hard ceiling that is passed because a crowd of names drops what was spent of it."""
-    rig = ReducerRig()
+    plan = interface.Plan(rate=25.0, burst=30.0, ceiling_rate=1.0, ceiling_burst=50.0, ceiling_slack=0.0)
+    rig = ReducerRig(settings=replace(SETTINGS, plans=(plan,)))
     gateway = rig.reducer.gateway
     gateway.max_accounts = 1
-    plan = interface.Plan(rate=25.0, burst=30.0, ceiling_rate=1.0, ceiling_burst=50.0, ceiling_slack=0.0)
-    object.__setattr__(gateway.settings, "plans", (plan,))
     rig.pass_time(timedelta(seconds=100))
     rig.request(CHECK, account=1)
     gateway.accounts[1].headroom = 0.0  # all of it was spent
