--- a/opalgauge/memory/buffers.py
+++ b/opalgauge/memory/buffers.py
@@ -11,7 +11,6 @@
 MAX_BUFFERED_BODY = 64 * KIB  # bytes of a body that are buffered; longer ones are streamed
 READ_SIZE = 16 * KIB  # bytes that one read takes of a buffered body at most
 HEAD_READ_SIZE = 1 * KIB  # bytes that one read takes of a client's connection while no body is being read
-PIPELINED_READ_SIZE = 1 * KIB  # the same while a request is open on the connection
 MIN_STREAM_READ = 8 * KIB  # bytes that one read takes of a streamed body at most, if memory is short
 MAX_STREAM_READ = 64 * KIB  # the same if there is memory to spare
 READER_LIMIT = 8 * KIB  # of aiohttp's reader of a client's body, which stops reading at twice as much
@@ -28,8 +27,8 @@
 SMALL_PROCESS = 32 * MIB  # bytes left for clients below which answers are buffered less
 CLIENT_SHARE = 7 / 8  # of the memory for clients: the most that connections alone may take
 
-# A client's connection: its objects, and what is read from it unasked.
-CONNECTION_MEMORY = 14 * KIB + HEAD_READ_SIZE + PIPELINED_READ_SIZE
+# A client's connection: its objects, and what is read from it unasked, with a request and behind it.
+CONNECTION_MEMORY = 14 * KIB + 2 * HEAD_READ_SIZE
 FIELD_MEMORY = 400  # bytes of the objects of a header field, beside its text
 HEAD_COPIES = 2  # of a head's text: raw and decoded
 REQUEST_OVERHEAD = 32 * KIB  # bytes of the objects of a request and its server's connection
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -30,7 +30,7 @@
 
 from opalgauge.memory import effects, events
 from opalgauge.memory.bans import InvalidBans, bans_from_plain, bans_to_plain
-from opalgauge.memory.buffers import CONNECTION_MEMORY
+from opalgauge.memory.buffers import CONNECTION_MEMORY, MIB
 from opalgauge.memory.drain import DrainSchedule, min_time_to_kill
 from opalgauge.memory.effects import Reason
 from opalgauge.memory.state import (
@@ -50,8 +50,8 @@
 
 ZERO = timedelta(0)
 # A server that reads a body more slowly (bytes/s) keeps its client from sending.
-MIN_SERVER_READ_RATE = 1024 * 1024
-MAX_UNREAD_BODY = 10 * 1024 * 1024  # bytes that the kernels of both sides hold of a body at most
+MIN_SERVER_READ_RATE = MIB
+MAX_UNREAD_BODY = 10 * MIB  # bytes that the kernels of both sides hold of a body at most
 MIN_BLOCKED_TIME = timedelta(milliseconds=50)  # for which a server may pause whatever time is left
 MIN_ANSWER_PARTS = 2  # after which a server is taken to be writing an answer
 MAX_ABANDONED_IDS = 1000  # that are remembered
@@ -75,8 +75,8 @@
             config.counter_address,
             config.server_list_address,
             Statistics([0] * class_count, [0] * class_count, [0] * class_count),
+            config.memory,
             list_version=config.known_list_version if config.known_servers else None,
-            memory=config.memory,
         )
         self.gateway = Gateway(config.settings, config.seed)
         self.random = random.Random(config.seed)  # spreads what all ingresses would do at the same time
@@ -414,12 +414,17 @@
             self._remember_abandoned(request)
             self._withdraw(request)
 
+    def _open_attempts(self, request: RequestInProgress) -> list[Attempt]:
+        """The attempts of a request that have not ended."""
+        attempts = self.state.attempts
+        numbers = range(request.attempt_count)
+        return [attempts[request.id, number] for number in numbers if (request.id, number) in attempts]
+
     def _remember_abandoned(self, request: RequestInProgress) -> None:
         """Keeps the id of a request that may have run: it must not run again if it comes back."""
-        sent = any(
-            attempt.written for attempt in self.state.attempts.values() if attempt.request_id == request.id
-        )
-        if request.is_safe or not (sent or request.may_have_run):
+        if request.is_safe:
+            return
+        if not request.may_have_run and not any(a.written for a in self._open_attempts(request)):
             return
         abandoned_ids = self.state.abandoned_ids
         abandoned_ids[request.http_request.correlation_id] = None
@@ -537,7 +542,7 @@
         """Answers a request whose time was up before its server had read its body."""
         self._answer(request.id, 504, Reason.OVERDUE, close=True)
         self._withdraw(request)
-        for attempt in [a for a in self.state.attempts.values() if a.request_id == request.id]:
+        for attempt in self._open_attempts(request):
             self._abort_attempt(attempt, interface.End.TIMEOUT)
 
     def _mark_client_idle(self, client_id: int) -> None:
@@ -1026,8 +1031,8 @@
         connection = self.state.connections.get(event.connection_id)
         if connection is None:
             return
-        attempt, connection.answer_part_at = connection.attempt, None
-        connection.answer_parts = 0
+        attempt = connection.attempt
+        connection.forget_answer_parts()
         self._reuse_or_close(connection, event.keep_alive and attempt is not None)
         if attempt is None:
             return
@@ -1042,8 +1047,8 @@
         connection = self.state.connections.get(event.connection_id)
         if connection is None:
             return
-        attempt, connection.answer_part_at = connection.attempt, None
-        connection.answer_parts = 0
+        attempt = connection.attempt
+        connection.forget_answer_parts()
         if attempt is None or attempt.is_probe or attempt.request_id not in self.state.requests:
             # Nobody waits for it.
             self._close_connection(connection, Reason.CANCELLED)
@@ -1217,7 +1222,8 @@
         connection = self.state.connections.get(event.connection_id)
         if connection is None:
             return
-        connection.answer_part_at, self.state.counter_answered_at = None, self.now
+        self.state.counter_answered_at = self.now
+        connection.forget_answer_parts()
         if connection.unanswered_calls:
             self._answer_counter_call(connection.unanswered_calls.popleft(), event.end, event.total)
         if not event.keep_alive:
@@ -1312,7 +1318,8 @@
         connection = self.state.connections.get(event.connection_id)
         if connection is None:
             return
-        asked_at, connection.since, connection.answer_part_at = connection.since or self.now, None, None
+        asked_at, connection.since = connection.since or self.now, None
+        connection.forget_answer_parts()
         if connection.id != self.state.list_connection_id:
             self._earlier_list_request_answered(connection, event)
             return
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -161,6 +161,10 @@
     queued_calls: deque[CounterCall] = field(default_factory=deque)  # counter calls until it is open
     unanswered_calls: deque[CounterCall] = field(default_factory=deque)  # counter calls, the oldest first
 
+    def forget_answer_parts(self) -> None:
+        """Called when an answer is no longer incomplete: it has come, or it is streamed."""
+        self.answer_part_at, self.answer_parts = None, 0
+
 
 @dataclass(slots=True)
 class RequestInProgress:
@@ -205,12 +209,12 @@
     counter_address: str
     server_list_address: str
     statistics: Statistics
+    memory: MemoryLimits
     bans: dict[int, BanStatus] = field(default_factory=dict)  # by server: also those that were lifted
     requests: dict[int, RequestInProgress] = field(default_factory=dict)
     open_correlation_ids: set[str] = field(default_factory=set)  # of these requests
     # Ids of requests that may have run when their clients left, and must not run twice; the oldest first.
     abandoned_ids: dict[str, None] = field(default_factory=dict)
-    memory: MemoryLimits = MemoryLimits.of_process(192 * MIB)
     memory_in_use: int = 0  # bytes that requests, begun ones included, and answers take at most
     memory_full: bool = False  # something was refused for want of memory; a change is logged
     # Each client's connection is in one of the six collections `clients_…`. Times say since when; the
--- a/opalgauge/wire/client_connection.py
+++ b/opalgauge/wire/client_connection.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from aiohttp.http import HttpRequestParser
 from aiohttp.http_exceptions import BadHttpMessage
-from aiohttp.streams import EMPTY_PAYLOAD
+from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError, _ErrInfo
 
 from opalgauge.memory.buffers import HEAD_READ_SIZE, KIB, READER_LIMIT, head_memory
@@ -28,6 +28,13 @@
 MAX_LINGER_BYTES = 256 * 1024  # bytes that are read and dropped in that time
 
 
+def drop_received_body(body: StreamReader) -> None:
+    """Drops what has been read of a body and would be kept until its connection has ended."""
+    if body.exception() is None:
+        with contextlib.suppress(RuntimeError):  # somebody waits for more: nothing is kept
+            body.read_nowait(-1)
+
+
 class ConnectionObserver(Protocol):
     """What a connection reports to."""
 
@@ -257,8 +264,8 @@
         reached. Closing a socket with unread bytes sends a reset, which can destroy the answer on its way.
         aiohttp's own lingering does not shut down the sending side, and stops at the end of the request body.
         """
-        if not request.content.is_eof() and request.content.exception() is None:
-            request.content.read_nowait(-1)
+        if not request.content.is_eof():
+            drop_received_body(request.content)
         self.lingering = True
         self._drop_buffers()
         await response.prepare(request)
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import math
 import re
@@ -21,7 +20,6 @@
     BODY_READ_AHEAD,
     HEAD_READ_SIZE,
     MAX_BUFFERED_BODY,
-    PIPELINED_READ_SIZE,
     READ_SIZE,
     READER_LIMIT,
     head_memory,
@@ -41,7 +39,12 @@
     RequestReceived,
     StreamedAnswerEnded,
 )
-from opalgauge.wire.client_connection import MAX_HEAD_FIELDS, ClientConnection, ConnectionObserver
+from opalgauge.wire.client_connection import (
+    MAX_HEAD_FIELDS,
+    ClientConnection,
+    ConnectionObserver,
+    drop_received_body,
+)
 from opalgauge.wire.listener import Listener, bind
 from opalgauge.wire.read_limiter import ReadLimiter
 from opalgauge.wire.socket_state import is_closed_by_peer, peek_byte
@@ -428,10 +431,7 @@
     def _stop_reading(body: StreamReader, error: MalformedRequest) -> None:
         """Ends the reading of a body with an error, unless all of it has arrived."""
         if not body.is_eof():
-            # What has been read would be kept until the connection has ended; nothing, if it is waited for.
-            if body.exception() is None:
-                with contextlib.suppress(RuntimeError):
-                    body.read_nowait(-1)
+            drop_received_body(body)
             body.set_exception(error)
 
     def answer(self, effect: AnswerClient, stream: StreamedAnswerBody | None = None) -> None:
@@ -548,7 +548,7 @@
         if not isinstance(connection, ClientConnection):
             return
         if complete:
-            connection.max_read = PIPELINED_READ_SIZE
+            connection.max_read = HEAD_READ_SIZE
         if not complete or transport is None or not transport.is_reading():
             connection.watch_for_disconnect()
 
--- a/opalgauge/wire/streamed_body.py
+++ b/opalgauge/wire/streamed_body.py
@@ -11,7 +11,7 @@
 
 from aiohttp import StreamReader
 
-from opalgauge.memory.buffers import MAX_STREAM_READ, MIN_STREAM_READ, PIPELINED_READ_SIZE
+from opalgauge.memory.buffers import HEAD_READ_SIZE, MAX_STREAM_READ, MIN_STREAM_READ
 
 PIECE_COPIES = 2  # of a piece: as it was read, and as it is written with its framing
 SPARE_DIVISOR = 8  # one read takes no more than this part of what is left, so that others find some as well
@@ -85,7 +85,7 @@
     def close(self) -> None:
         """Ends the stream; the client's connection is read as usual again."""
         self.share.close()
-        self.client.release_reading(PIPELINED_READ_SIZE)
+        self.client.release_reading(HEAD_READ_SIZE)
 
 
 class StreamedAnswerBody:
--- a/tests/test_races_server_list.py
+++ b/tests/test_races_server_list.py
@@ -226,6 +226,16 @@
     run_scene(scenario)
 
 
+async def assert_whole_list_is_asked_for_and_taken_over(running: Scene) -> None:
+    """The next request is for the whole list; by its answer the first of two servers drains."""
+    running.pass_time(150 * MS)
+    connection, target = await next_list_request(running)
+    assert "since" not in target
+    answer_list(connection, 9, running.list_entry(0, "terminating"), running.list_entry(1), is_complete=True)
+    await wait_until(lambda: running.state.list_version == 9)
+    await assert_forwarded_to(running, 1)
+
+
 def test_changes_of_an_older_list_behind_a_late_answer_are_not_lost() -> None:
     """Guards against changes that are dropped as their version is lower than that of a late whole list."""
 
@@ -240,14 +250,7 @@
             await wait_until(lambda: running.state.list_version == 20)
             answer_list(other, 9, running.list_entry(0, "terminating"))
             await wait_until(lambda: running.state.list_version is None)
-            running.pass_time(150 * MS)
-            third, target = await next_list_request(running)
-            assert "since" not in target
-            answer_list(
-                third, 9, running.list_entry(0, "terminating"), running.list_entry(1), is_complete=True
-            )
-            await wait_until(lambda: running.state.list_version == 9)
-            await assert_forwarded_to(running, 1)
+            await assert_whole_list_is_asked_for_and_taken_over(running)
 
     run_scene(scenario)
 
@@ -358,14 +361,7 @@
                 answer_list(list_connection, 8, running.list_entry(1, "terminating"), entry)
             await wait_until(lambda: not running.state.list_reachable)
             assert not [line for line in running.log if "fault" in line]
-            running.pass_time(150 * MS)
-            other, again = await next_list_request(running)
-            assert "since" not in again
-            answer_list(
-                other, 9, running.list_entry(0, "terminating"), running.list_entry(1), is_complete=True
-            )
-            await wait_until(lambda: running.state.list_version == 9)
-            await assert_forwarded_to(running, 1)
+            await assert_whole_list_is_asked_for_and_taken_over(running)
 
     run_scene(scenario)
 
