--- /dev/null
+++ b/tests/test_pipelined_requests.py
@@ -0,0 +1,67 @@
+"""Requests behind each other on one connection reach servers byte for byte, and each gets its own answer."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from tests.pipelined_requests import (
+    Exchanges,
+    Message,
+    PipeliningClient,
+    checked_ingress,
+    draw_message,
+    get,
+    post,
+)
+
+KIB = 1024
+ROUNDS = 4
+CLIENTS, BATCHES, SEED = 24, 12, 1
+
+BATCHES_AT_ONCE: dict[str, list[Message]] = {
+    "get-post": [get(), post(16 * KIB)],
+    "short-long": [post(5), post(16 * KIB)],
+    "get-get-post": [get(1), get(2), post(16 * KIB)],
+    "long-chunked": [post(16 * KIB), post(40_000, 3000, 7), get(3)],
+    "many-chunks": [post(3000, 1), post(20_000), post(9000, 1, 200), get(4)],
+    "streamed": [get(5), post(300_000, number=6), post(16 * KIB, number=7)],
+    "streamed-chunked": [post(200_000, 5000, number=8), get(9), post(70_000, number=10)],
+}
+
+
+async def exchange_batches() -> Exchanges:
+    exchanges = Exchanges()
+    async with checked_ingress(exchanges) as ingress:
+        for name, messages in BATCHES_AT_ONCE.items():
+            async with PipeliningClient.connect(exchanges, ingress.address, name) as client:
+                for _ in range(ROUNDS):
+                    await client.exchange(messages)
+    return exchanges
+
+
+def test_requests_written_at_once_reach_servers_unchanged() -> None:
+    exchanges = asyncio.run(exchange_batches())
+    assert not exchanges.faults
+    assert exchanges.statuses == [200] * ROUNDS * sum(map(len, BATCHES_AT_ONCE.values()))
+
+
+async def exchange_drawn_batches(seed: int) -> Exchanges:
+    exchanges = Exchanges()
+
+    async def run_client(number: int) -> None:
+        rng = random.Random(seed * 1000 + number)
+        async with PipeliningClient.connect(exchanges, ingress.address, f"client-{number}") as client:
+            for batch in range(BATCHES):
+                messages = [draw_message(rng, batch * 10 + n) for n in range(rng.randint(1, 5))]
+                await client.exchange(messages, rng if rng.random() < 0.5 else None)
+
+    async with checked_ingress(exchanges, answer_delay=0.005) as ingress:
+        await asyncio.gather(*(run_client(number) for number in range(CLIENTS)))
+    return exchanges
+
+
+def test_drawn_pipelined_requests_keep_their_bytes_and_answers() -> None:
+    exchanges = asyncio.run(exchange_drawn_batches(SEED))
+    assert not exchanges.faults
+    assert set(exchanges.statuses) == {200}
