Keep the bytes behind an open request in one order, whoever goes on parsing

The check for an open request passed over empty data, and did not know of a request between its take-up and its handler. So the parser went on with its rest and began the next request while later bytes lay in `pipelined`, and what was read next was parsed ahead of them.

Change: a request is open from its head on, in one place (`open_body`). While it is complete nothing is parsed, whoever calls. Bytes go through one buffer: first what the parser keeps, then `unparsed`, then what is read. Nothing is read on while that holds something. Related paths: an error in a body's framing ends that body, and no longer queues a second answer behind the open request; a request that asks for another protocol is the last of its connection, as the parser loses what follows it; `refuse_incomplete` leaves a connection alone on which a request is open and not yet taken up; time behind another request is deducted from the time left.

--- a/opalgauge/wire/client_connection.py
+++ b/opalgauge/wire/client_connection.py
@@ -8,7 +8,7 @@
 from typing import Any, Protocol
 
 from aiohttp import web
-from aiohttp.http import HttpRequestParser
+from aiohttp.http import HttpProcessingError, HttpRequestParser, RawRequestMessage
 from aiohttp.http_exceptions import BadHttpMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError, _ErrInfo
@@ -51,13 +51,15 @@
 class ClientConnection(RequestHandler, LimitedProtocol):
     """aiohttp's connection handler, which also reports partial request heads and closes with a linger.
 
-    While a request is open, what follows it is neither parsed nor read on. `lingering` is set by
-    `refuse_incomplete` and `answer_and_linger`: from then on, what arrives is dropped.
+    A request is open from its head until its answer has been written. While one is open and complete, what
+    follows it is not parsed, whoever calls `data_received`: the parser keeps what it was given behind it, and
+    `unparsed` all that came later. `lingering` is set by `refuse_incomplete` and `answer_and_linger`: from
+    then on, what arrives is dropped.
     """
 
     __slots__ = (
-        "lingering", "dropped_bytes", "accept_delay", "max_read", "head_size", "head_fields", "pipelined",
-        "observer", "answering", "disconnect_timer", "body_held",
+        "lingering", "dropped_bytes", "queue_delay", "max_read", "head_size", "head_fields", "unparsed",
+        "unparsed_at", "parsed_at", "observer", "open_body", "disconnect_timer", "body_held",
     )  # fmt: skip
 
     def __init__(self, manager: Any, observer: ConnectionObserver, **options: Any) -> None:
@@ -74,12 +76,14 @@
         self.lingering, self.dropped_bytes = False, 0
         self.max_read = HEAD_READ_SIZE
         self.head_size = self.head_fields = 0  # bytes and lines of the request that is being read
-        self.pipelined = b""  # what has come behind the open request
+        self.unparsed = b""  # what has come behind the open request and behind what the parser keeps
+        # Loop times at which the last bytes of `unparsed`, and of what the parser was given, were read.
+        self.unparsed_at = self.parsed_at = 0.0
         self.body_held = False  # the rest of a request's body is not read until `release_reading`
-        self.answering = False  # from a request's head to the last byte of its answer
+        self.open_body: StreamReader | None = None  # the body of the open request; None: no request is open
         self.disconnect_timer: asyncio.TimerHandle | None = None
-        # s for which the first request waited in the kernel before the connection was accepted
-        self.accept_delay = 0.0
+        # s for which the open request waited until it was parsed: to be accepted, or behind another request
+        self.queue_delay = 0.0
 
     # --- callbacks of asyncio and aiohttp ------------------------------------------------------------------
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -91,7 +95,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """See asyncio.BaseProtocol."""
         super().connection_lost(exc)
-        self.observer, self.pipelined = None, b""
+        self.observer, self.open_body, self.unparsed = None, None, b""
         if self.disconnect_timer is not None:
             self.disconnect_timer.cancel()
 
@@ -105,38 +109,75 @@
         return True
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes and reports a request that has begun and is not complete."""
-        if self.lingering:
+        """Parses received bytes unless a complete request is open; aiohttp calls it with none to go on."""
+        if self.lingering or self._force_close or self._close or self._parser is None:
             return
-        if data and self._has_complete_request():
-            self.pipelined += data
+        if data:
+            self.unparsed += data
+            self.unparsed_at = self._loop.time()
+        received = self.unparsed
+        if not self.has_complete_request:
+            self._parse_next()
+        if self.unparsed:
             self._pause_reading_for_buffer()
             self.watch_for_disconnect()
+        elif received and self.open_body is None and self.observer is not None:
+            self._report_partial_head(received)
+
+    def _parse_next(self) -> None:
+        """Parses on until a request is complete: first what the parser keeps, then what came behind it."""
+        self._parse(b"")
+        if self.unparsed and not self.has_complete_request:
+            data, self.unparsed, self.parsed_at = self.unparsed, b"", self.unparsed_at
+            self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        """Parses bytes; the parser stops behind a complete request and keeps the rest."""
+        assert self._parser is not None
+        try:
+            messages, _, __ = self._parser.feed_data(data)
+        except HttpProcessingError as error:
+            self._reject(error)
             return
-        super().data_received(data)
-        self._drop_traceback()
-        if self._messages and not self._messages[-1][1].is_eof():
+        for message, body in messages:
+            # No other protocol is spoken, and the parser can lose what follows such a request.
+            last = message.upgrade
+            self._open_request(message._replace(should_close=True) if last else message, body)
+
+    def _open_request(self, message: RawRequestMessage | _ErrInfo, body: StreamReader) -> None:
+        """Passes a request that has begun on to aiohttp's handler."""
+        self.open_body = body
+        self.queue_delay += self._loop.time() - self.parsed_at
+        self._request_count += 1
+        self._messages.append((message, body))
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+        if not body.is_eof():
             self.hold_reading()  # until there is memory for its body
-        # `_waiter` cannot be used here: the first head may arrive before the handler task waits for one.
-        if data and not self._messages and not self.answering and self.observer is not None:
-            self.head_size += len(data)
-            self.head_fields += data.count(b"\n")
-            if self.head_size > MAX_REQUEST_HEAD:
-                self.refuse_incomplete(400, "request head is too long")
-            else:
-                self.observer.partial_head_received(self)
-
-    def _drop_traceback(self) -> None:
-        """Frees the frames of a parser error, which would keep the connection until a garbage collection."""
-        if self._messages and isinstance(error := self._messages[-1][0], _ErrInfo):
-            error.exc.__traceback__ = error.exc.__context__ = error.exc.__cause__ = None
-
-    def _has_complete_request(self) -> bool:
+
+    def _reject(self, error: HttpProcessingError) -> None:
+        """Answers bytes that are no request with 400, or ends the open body that they belong to."""
+        # The frames of the error would keep the connection until a garbage collection.
+        error.__traceback__ = error.__context__ = error.__cause__ = None
+        if self.open_body is not None:
+            self.open_body.set_exception(error)
+            return
+        self._open_request(_ErrInfo(status=400, exc=error, message=error.message), EMPTY_PAYLOAD)
+
+    def _report_partial_head(self, data: bytes) -> None:
+        """Reports a request that has begun, or refuses it if its head is too long."""
+        assert self.observer is not None
+        self.head_size += len(data)
+        self.head_fields += data.count(b"\n")
+        if self.head_size > MAX_REQUEST_HEAD:
+            self.refuse_incomplete(400, "request head is too long")
+        else:
+            self.observer.partial_head_received(self)
+
+    @property
+    def has_complete_request(self) -> bool:
         """Whether a request has been read to its end and has not been answered."""
-        if self._messages:
-            return self._messages[-1][1].is_eof()
-        request = self._current_request
-        return self.answering and (request is None or request.content.is_eof())
+        return self.open_body is not None and self.open_body.is_eof()
 
     async def _handle_request(
         self,
@@ -144,10 +185,8 @@
         start_time: float | None,
         request_handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
     ) -> tuple[web.StreamResponse, bool]:
-        self.answering = True
         response, reset = await super()._handle_request(request, start_time, request_handler)
         await self.wait_until_written()
-        self.answering = False
         if response.keep_alive and request.content.is_eof() and not reset:
             self._read_next_request()
         return response, reset
@@ -156,12 +195,10 @@
         """Parses what has come behind the request that has been answered, and reads on."""
         if self.lingering or self.transport is None or self._force_close:
             return
-        self.max_read, self.body_held = HEAD_READ_SIZE, False
+        self.open_body, self.max_read, self.body_held = None, HEAD_READ_SIZE, False
         self.head_size = self.head_fields = 0
-        if not self._has_complete_request():
-            data, self.pipelined = self.pipelined, b""
-            self.data_received(data)
-        if self._buffer_paused and not self.pipelined:
+        self.data_received(b"")
+        if self._buffer_paused:
             self._resume_reading_if_drained()
 
     def _make_error_handler(self, err_info: Any) -> Any:
@@ -192,7 +229,7 @@
     def _check_disconnect(self) -> None:
         self.disconnect_timer = None
         transport = self.transport
-        if transport is None or transport.is_closing() or not self.answering or self.lingering:
+        if transport is None or transport.is_closing() or self.open_body is None or self.lingering:
             return
         if not transport.is_reading() and is_closed_by_peer(transport):
             transport.abort()
@@ -212,20 +249,21 @@
             self._resume_reading_if_drained()
 
     def _resume_reading_if_drained(self) -> None:
-        if not self.body_held:
-            super()._resume_reading_if_drained()
+        if self.body_held:
+            return
+        self.data_received(b"")
+        if not self.body_held and not self.unparsed:
+            self._resume_reading_for_buffer()
 
     def refuse_incomplete(self, status: int, message: str) -> None:
         """Answers a request whose head is incomplete, and drops what has come of it and still comes."""
         error = BadHttpMessage(message)
-        self._messages.append((_ErrInfo(status=status, exc=error, message=message), EMPTY_PAYLOAD))
         self.lingering = True
         self._drop_buffers()
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+        self._open_request(_ErrInfo(status=status, exc=error, message=message), EMPTY_PAYLOAD)
 
     def _drop_buffers(self) -> None:
-        self._parser, self.pipelined = None, b""
+        self._parser, self.unparsed = None, b""
 
     async def wait_until_written(self) -> None:
         """Waits until the kernel has taken an answer; aborts the connection if its client stops reading."""
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -272,7 +272,7 @@
         connection = self.server()
         if not isinstance(connection, ClientConnection):
             return connection
-        connection.accept_delay = accept_delay
+        connection.queue_delay = accept_delay
         return ReadLimiter(connection)
 
     def stop_accepting(self) -> None:
@@ -419,7 +419,7 @@
         body = self.incomplete_bodies.get(connection) if connection is not None else None
         if body is not None:
             self._stop_reading(body, MalformedRequest(429, "no memory for its body"))
-        elif isinstance(connection, ClientConnection) and not connection.answering:
+        elif isinstance(connection, ClientConnection) and connection.open_body is None:
             connection.refuse_incomplete(429, "no memory for its head")
 
     def stop_reading_bodies(self) -> None:
@@ -441,7 +441,7 @@
             pending.answer.set_result((effect, stream))
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        accept_delay = self._take_accept_delay(request)
+        queue_delay = self._take_queue_delay(request)
         if request.raw_path == "/ready":
             return await self._answer_directly(request, 200 if self.is_ready() else 503)
         client_id = self.client_ids.get(request.protocol)
@@ -449,8 +449,7 @@
             return web.Response(status=400)  # disconnected before its request was read
         try:
             received = await self._read_request(request, client_id)
-            if accept_delay:
-                received.time_left = max(ZERO, received.time_left - accept_delay)
+            received.time_left = max(ZERO, received.time_left - queue_delay)
         except MalformedRequest as error:
             self.report(RequestDiscarded(client_id))
             # What is left of a body that was not read to its end would be taken for the next request.
@@ -494,16 +493,16 @@
         return head_memory(size + HEAD_READ_SIZE if size else 0, len(request.headers))
 
     @staticmethod
-    def _take_accept_delay(request: web.BaseRequest) -> timedelta:
-        """How long a connection's first request waited to be accepted; zero for any later request.
+    def _take_queue_delay(request: web.BaseRequest) -> timedelta:
+        """How long a request waited to be accepted, or behind the one before it on its connection.
 
         It is deducted from the time left, so that servers are not told of time that the client no longer has.
         """
         connection = request.protocol
-        if not isinstance(connection, ClientConnection) or not connection.accept_delay:
+        if not isinstance(connection, ClientConnection):
             return ZERO
-        accept_delay, connection.accept_delay = timedelta(seconds=connection.accept_delay), 0.0
-        return accept_delay
+        queue_delay, connection.queue_delay = timedelta(seconds=connection.queue_delay), 0.0
+        return queue_delay
 
     async def _await_answer(self, request: web.BaseRequest, received: RequestReceived) -> web.StreamResponse:
         complete = not received.http_request.has_more_body
