Ask a discovery agent that was never heard for its whole list, and begin to serve when it is heard

Cause: the first question was a watch since the version in the configuration file. A watch may stay open for a second, so each silent one cost 1.3 s before the agent was asked again; and the process said that it was ready before it had heard the agent.

Change: until an agent has answered (at a start, and after its address has changed), it is asked for the whole list, which it answers at once; after 100 ms it is asked again over another connection, ten times, then every second. All stay open for their answers. Serving begins when the agent has been heard, or after 0.5 s. Where the list must be asked for in turns all stays as it was. The whole list also does away with versions of another count than the file's.

Logs: the ready line says whether the list was told or is the configuration's; the record has each question with its version, each answer with its kind, and when serving may begin.

--- a/opalgauge/cores/worker.py
+++ b/opalgauge/cores/worker.py
@@ -462,6 +462,7 @@
         self.runtime.start()
         self.heartbeat()
         self.report_load()
+        await self.runtime.list_settled.wait()
         self.channel.send(messages.ReportReady(len(self.runtime.reducer.config.known_servers)))
         await self.finished.wait()
         await asyncio.sleep(EXIT_DELAY.total_seconds())
--- a/opalgauge/lifecycle/config.py
+++ b/opalgauge/lifecycle/config.py
@@ -28,6 +28,8 @@
 # The following three hold if discovery answers on request only. It then serves all ingresses in turn, and a
 # request that is given up has used a turn that another ingress could have had.
 LIST_WAIT = timedelta(seconds=20)
+# An agent answers what it has at once; where it does not, it is asked again over another connection.
+LIST_FIRST_ANSWER_WAIT = timedelta(milliseconds=100)
 LIST_FLEET_TURN = timedelta(milliseconds=100)  # per ingress: discovery served 6 to 12 lists a second
 LIST_MAX_PAUSE = timedelta(seconds=8)
 RESERVED_SOCKETS = 48  # listener, discovery, quota counter, standard streams and the event loop's own
@@ -173,6 +175,8 @@
             ingress = replace(
                 ingress, list_wait=LIST_WAIT, list_fleet_turn=fleet_turn, list_max_pause=LIST_MAX_PAUSE
             )
+        else:
+            ingress = replace(ingress, list_first_answer_wait=LIST_FIRST_ANSWER_WAIT)
         request_catalog = RequestCatalog(
             [(str(c["name"]), c.get("effect") == "retryable") for c in platform_settings["classes"]],
             [str(t["name"]) for t in platform_settings["tiers_of_service"]],
--- a/opalgauge/lifecycle/service.py
+++ b/opalgauge/lifecycle/service.py
@@ -301,6 +301,7 @@
         if peer_services is not None and config.peering is not None:
             await peer_services.start(config.peering.listen)
         apply_memory_limits(config.ingress.memory_limit, runtime, clients)
+        await runtime.list_settled.wait()
         if not draining:  # a process that was stopped while starting must not accept clients
             await clients.listen(*config.listen, config.listen_fd)
             ready = True
@@ -309,7 +310,8 @@
             host, port = config.listen
             log(
                 f"ready: {config.name} on {host}:{port}, "
-                f"{len(config.ingress.known_servers)} stock nodes known"
+                f"{len(runtime.reducer.state.servers)} stock nodes known, "
+                f"node list {'told' if runtime.reducer.state.list_heard else 'as configured'}"
             )
         await stopped.wait()
         if runtime.reducer.state.streams or runtime.reducer.state.requests:
--- a/opalgauge/memory/effects.py
+++ b/opalgauge/memory/effects.py
@@ -105,6 +105,13 @@
     wait: timedelta  # the agent answers within this time, even if nothing is newer
 
 
+@dataclass(slots=True)
+class ServerListSettled:
+    """Serving may begin: the discovery agent has been heard, or silent for as long as a start waits."""
+
+    heard: bool
+
+
 @dataclass(slots=True)
 class AnswerClient:
     """Give a client the one final answer to its request."""
@@ -291,6 +298,7 @@
     | SendProbe
     | CallCounter
     | AskServerList
+    | ServerListSettled
     | AnswerClient
     | StreamAnswer
     | DelegateRequest
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -154,6 +154,8 @@
         self._apply_list(interface.ListKind.CACHED, self.config.known_servers)
         # Ingresses that start at the same time ask one after another, where the list must be asked for.
         self._schedule(now + self.config.list_fleet_turn * self.random.random(), self._open_list_connection)
+        waits = self.state.server_list_address and self.config.list_first_answer_wait is not None
+        self._schedule(now + self.config.list_ready_wait * bool(waits), self._settle_list)
         self._run_due_timers()
         return self._finish()
 
@@ -1249,13 +1251,29 @@
         self._schedule(self.now + self.config.dial_timeout, self._dial_timed_out, connection.id)
 
     def _write_list_request(self, connection: Connection) -> None:
-        self.effects.append(
-            effects.AskServerList(connection.id, self.state.list_version, self.config.list_wait)
-        )
+        config, state = self.config, self.state
+        # The list in the configuration file may be old, and of another count of versions.
+        asks_for_all = not state.list_heard and config.list_first_answer_wait is not None
+        since_version = None if asks_for_all else state.list_version
+        self.effects.append(effects.AskServerList(connection.id, since_version, config.list_wait))
         connection.since = self.now
-        wait_end = self.now + self.config.list_wait
-        self._schedule(wait_end + self.config.list_wait_slack, self._list_overdue, connection, self.now)
-        self._schedule(wait_end + self.config.list_told_within, self._list_timed_out, connection, self.now)
+        self._schedule(self.now + self._list_answer_wait(), self._list_overdue, connection, self.now)
+        give_up_at = self.now + config.list_wait + config.list_told_within
+        self._schedule(give_up_at, self._list_timed_out, connection, self.now)
+
+    def _list_answer_wait(self) -> timedelta:
+        """How long an answer is waited for before the agent is asked over another connection as well."""
+        config, state = self.config, self.state
+        if state.list_heard or config.list_first_answer_wait is None:
+            return config.list_wait + config.list_wait_slack
+        state.unheard_list_requests += 1
+        is_one_of_the_first = state.unheard_list_requests <= config.list_first_requests
+        return config.list_first_answer_wait if is_one_of_the_first else config.list_first_pause
+
+    def _settle_list(self) -> None:
+        if not self.state.list_settled:
+            self.state.list_settled = True
+            self.effects.append(effects.ServerListSettled(self.state.list_heard))
 
     def _repeat_list_request(self, connection: Connection) -> None:
         if connection.id in self.state.connections and connection.since is None:
@@ -1271,7 +1289,7 @@
         if connection.id != state.list_connection_id or connection.since != asked_at:
             return
         if connection.id in state.connections:
-            if len(self._list_connections()) > 1:
+            if len(self._list_connections()) > 1 and state.list_settled:
                 self._log_list_unreachable("agent not answering; serving on with the list as last told")
             state.list_connection_id = 0
             self._open_list_connection()
@@ -1381,7 +1399,8 @@
         if not state.list_reachable:
             state.list_reachable = True
             self.effects.append(effects.Log("node list: agent answers again"))
-        state.list_version, state.list_refusals = event.version, 0
+        state.list_version, state.list_refusals, state.list_heard = event.version, 0, True
+        self._settle_list()
         if event.servers or event.list_kind is not interface.ListKind.CHANGES:
             self._apply_list(event.list_kind, event.servers or ())
 
@@ -1469,6 +1488,7 @@
             state.server_list_address = event.server_list_address
             # Another agent may count versions differently: its complete list is asked for.
             state.list_version, state.list_refusals = None, 0
+            state.list_heard, state.unheard_list_requests = False, 0
             for connection in self._list_connections():
                 self._close_connection(connection, Reason.ADDRESS_CHANGED)
             self._open_list_connection()
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -64,6 +64,14 @@
     list_wait: timedelta = timedelta(seconds=1)
     # After `list_wait`, before the agent is asked over another connection as well.
     list_wait_slack: timedelta = timedelta(milliseconds=300)
+    # Before the agent is asked over another connection as well, as long as it has never been heard: a request
+    # for the whole list is answered at once. None: it is first asked as it is later.
+    list_first_answer_wait: timedelta | None = None
+    list_first_requests: int = 10  # so many requests follow each other after that time; the agent may be down
+    list_first_pause: timedelta = timedelta(seconds=1)  # between further ones, until it is heard
+    list_ready_wait: timedelta = timedelta(
+        milliseconds=500
+    )  # for which a start waits until the agent is heard
     # From an answer's first byte, before the same: the rest may never come.
     list_answer_wait: timedelta = timedelta(seconds=1)
     # After `list_wait`, before an answer is given up. A change counts as told so long after the agent had it.
@@ -241,6 +249,9 @@
     list_connection_id: int = 0  # the one over which the agent was asked last
     list_reachable: bool = True  # the discovery agent answers; a change is logged
     list_refusals: int = 0  # one after another
+    list_heard: bool = False  # the agent at this address has answered with a list
+    list_settled: bool = False  # see effects.ServerListSettled
+    unheard_list_requests: int = 0  # since the start, or since the agent's address changed
     last_connection_id: int = 0
     process_count: int = 1  # of this ingress that are running
     draining: bool = False
--- a/opalgauge/wire/recorder.py
+++ b/opalgauge/wire/recorder.py
@@ -68,13 +68,20 @@
     events.StreamedAnswerEnded: _format("request {}: long answer over, whole {}", "request_id", "complete"),
     events.ProcessCountChanged: _format("{} processes of this ingress", "process_count"),
     events.OtherProcessAccepting: _format("another process of this ingress accepts clients: {}", "accepting"),
-    events.ServerListAnswered: _format("node list version {}", "version"),
+    events.ServerListAnswered: _format(
+        "connection {}: node list version {}, {}, refused {}",
+        "connection_id", "version", "list_kind", "refused",
+    ),
     events.DrainRequested: _format("asked to stop, successor {}", "has_successor"),
     effects.OpenConnection: _format("connection {} to {} {}", "connection_id", "destination", "address"),
     effects.CloseConnection: _format("connection {} closed: {}", "connection_id", "reason"),
     effects.SendAttempt: _format(
         "request {} sent over connection {}, told {:.3f} s", "request_id", "connection_id", "time_left",
     ),
+    effects.AskServerList: _format(
+        "connection {} asks for the list since {}", "connection_id", "since_version",
+    ),
+    effects.ServerListSettled: _format("serving may begin, agent heard: {}", "heard"),
     effects.AnswerClient: _format(
         "request {} answered {}: {}, last {}", "request_id", "status", "reason", "close_connection",
     ),
--- a/opalgauge/wire/runtime.py
+++ b/opalgauge/wire/runtime.py
@@ -72,6 +72,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.event_queue: deque[Event] = deque()
         self.recorder = Recorder()
+        self.list_settled = asyncio.Event()  # see effects.ServerListSettled
         self.processing = False
         self.fault_count = 0
         self.effect_handlers: dict[type, Callable[[Any], None]] = {
@@ -85,6 +86,7 @@
             effects.AskServerList: lambda e: self._write(
                 e.connection_id, encode_list_request(e.since_version, e.wait)
             ),
+            effects.ServerListSettled: lambda _: self.list_settled.set(),
             effects.AnswerClient: self._answer_client,
             effects.StreamAnswer: self._stream_answer,
             effects.CloseClient: self._close_client,
--- a/tests/test_silent_agent_at_start.py
+++ b/tests/test_silent_agent_at_start.py
@@ -7,13 +7,20 @@
 import itertools
 import json
 import time
+from datetime import timedelta
 
+import pytest
+
+from opalgauge.memory import effects, events
+from starlinggap import interface
 from tests import harness
+from tests.reducer_rig import ReducerRig, listed_server
 from tests.soak.stand_ins import ok_response
 
 STOP_SENDING_TIME = 2.0  # s from the start of a process, by when it has been told of a drain
 MAX_SILENT_REQUESTS = 4
 PLAY_TIME = 7.0  # s
+FIRST_WAIT, READY_WAIT = timedelta(milliseconds=100), timedelta(milliseconds=500)
 
 
 def server_list(draining: str, ready: str) -> bytes:
@@ -67,3 +74,71 @@
 
     times = asyncio.run(scenario())
     assert [seconds for seconds in times if seconds > STOP_SENDING_TIME] == [], times
+
+
+def starting_rig() -> ReducerRig:
+    return ReducerRig(list_first_answer_wait=FIRST_WAIT, list_ready_wait=READY_WAIT)
+
+
+def settled(rig: ReducerRig) -> list[bool]:
+    return [effect.heard for effect in rig.effects if isinstance(effect, effects.ServerListSettled)]
+
+
+def ask_in_steps(rig: ReducerRig, steps: int) -> None:
+    for _ in range(steps):
+        rig.pass_time(FIRST_WAIT)
+        rig.open_list_connection()
+
+
+def answer(rig: ReducerRig, connection_id: int, version: int) -> None:
+    rig.step(
+        events.ServerListAnswered(
+            connection_id, True, version, interface.ListKind.COMPLETE, (listed_server(1),)
+        )
+    )
+
+
+def test_a_start_asks_for_the_whole_list_again_and_again_until_it_is_heard() -> None:
+    rig = starting_rig()
+    rig.open_list_connection()
+    ask_in_steps(rig, 4)
+    assert [request.since_version for request in rig.list_requests()] == [None] * 5
+    assert len({request.connection_id for request in rig.list_requests()}) == 5
+    assert settled(rig) == [], "it does not serve yet"
+    rig.pass_time(FIRST_WAIT / 10)
+    answer(rig, rig.last_list_request().connection_id, version=3)
+    assert settled(rig) == [True]
+    assert rig.last_list_request().since_version == 3, "versions of before do not count"
+    ask_in_steps(rig, 9)
+    assert len(rig.list_requests()) == 6, "an agent that has been heard is asked as usual"
+
+
+def test_a_late_first_answer_is_taken_over() -> None:
+    rig = starting_rig()
+    rig.open_list_connection()
+    ask_in_steps(rig, 3)
+    answer(rig, rig.list_requests()[0].connection_id, version=8)
+    assert settled(rig) == [True] and rig.reducer.state.list_version == 8
+
+
+def test_a_start_serves_after_a_while_beside_an_agent_that_is_down() -> None:
+    rig = starting_rig()
+    rig.open_list_connection()
+    ask_in_steps(rig, 5)
+    assert settled(rig) == [False]
+    ask_in_steps(rig, 100)
+    assert len(rig.list_requests()) <= 10 + 11, "it is asked less often then"
+
+
+@pytest.mark.parametrize("silent_requests", [0, 3])
+def test_a_new_agent_is_asked_as_at_a_start(silent_requests: int) -> None:
+    rig = starting_rig()
+    rig.open_list_connection()
+    answer(rig, rig.last_list_request().connection_id, version=8)
+    before = len(rig.list_requests())
+    rig.step(events.AddressesChanged("127.0.0.1:6400", "127.0.0.1:8501"))
+    rig.open_list_connection()
+    ask_in_steps(rig, silent_requests)
+    assert [r.since_version for r in rig.list_requests()[before:]] == [None] * (silent_requests + 1)
+    answer(rig, rig.last_list_request().connection_id, version=2)
+    assert rig.reducer.state.list_version == 2 and settled(rig) == [True]
