Give out a part of a ceiling's slack once in a process, not at each return of an account

Cause: an account that is dropped for room and met again began with its part of the slack once more, beside what was refilled since.

Change: once an account was dropped whose part was not full, new accounts begin with what was refilled since then and no slack.

--- a/starlinggap/brain.py
+++ b/starlinggap/brain.py
@@ -309,7 +309,10 @@
         )
         if account is None:
             known_since = max(self.started_at, self.headroom_forgotten_at)
-            account = self.accounts[event.account] = Account(event, plan, self.now, self.now - known_since)
+            slack_unspent = self.headroom_forgotten_at == -math.inf
+            account = self.accounts[event.account] = Account(
+                event, plan, self.now, self.now - known_since, slack_unspent
+            )
             self.drop_excess_accounts()
         self.accounts.move_to_end(event.account)
         account.advance(self.now)
--- a/starlinggap/quota.py
+++ b/starlinggap/quota.py
@@ -37,7 +37,15 @@
 class Account:
     """What this gateway knows of one account. Quantities are in units, unless said otherwise."""
 
-    def __init__(self, request: interface.Request, plan: interface.Plan, now: float, uptime: float) -> None:
+    def __init__(
+        self,
+        request: interface.Request,
+        plan: interface.Plan,
+        now: float,
+        known_for: float,
+        slack_unspent: bool = True,
+    ) -> None:
+        # known_for: s for which this gateway has certainly spent nothing of the account's ceiling.
         # spread: over how many gateways, times the workers of each, the account's requests are spread.
         self.id, self.plan, self.workers = request.account, plan, request.account_workers
         self.spread = max(1, request.account_gateways) * request.account_workers
@@ -68,8 +76,9 @@
         self.open_attempts = 0
         # What is left of this gateway's part of the ceiling. A ceiling is split evenly, so that no gateway
         # needs to know of another. A new process has its part of the slack, and of what was refilled since
-        # its start: the one before it may have spent the rest.
-        self.headroom = min(plan.ceiling_burst, plan.ceiling_slack + plan.ceiling_rate * uptime) / self.spread
+        # its start: the one before it may have spent the rest. The slack is given out once in a process.
+        available = plan.ceiling_slack * slack_unspent + plan.ceiling_rate * known_for
+        self.headroom = min(plan.ceiling_burst, available) / self.spread
 
     def likely_prev(self, current: float, remaining: float) -> float:
         """The last window's total if use is steady: by the total so far and the use of others (units)."""
--- a/tests/test_bounded_tables.py
+++ b/tests/test_bounded_tables.py
@@ -5,6 +5,8 @@
 from dataclasses import replace
 from datetime import timedelta
 
+import pytest
+
 from opalgauge.memory import events
 from opalgauge.memory.buffers import MIB, MemoryLimits, ProcessMemory
 from opalgauge.memory.timers import MIN_CANCELLED, TimerQueue
@@ -29,9 +31,10 @@
     assert len(rig.reducer.timers.heap) <= 2 * MIN_CANCELLED + 100
 
 
-def test_an_account_that_was_dropped_early_gets_no_new_part_of_its_ceiling() -> None:
+@pytest.mark.parametrize("slack", [0.0, 8.0])
+def test_an_account_that_was_dropped_early_gets_no_new_part_of_its_ceiling(slack: float) -> None:
     """Guards against a hard ceiling that is passed because a crowd of names drops what was spent of it."""
-    plan = interface.Plan(rate=25.0, burst=30.0, ceiling_rate=1.0, ceiling_burst=50.0, ceiling_slack=0.0)
+    plan = interface.Plan(rate=25.0, burst=30.0, ceiling_rate=1.0, ceiling_burst=50.0, ceiling_slack=slack)
     rig = ReducerRig(settings=replace(SETTINGS, plans=(plan,)))
     gateway = rig.reducer.gateway
     gateway.max_accounts = 1
