Deduct the time for which a request waited unread behind another one

Cause: deducted the time since a request had been read. Reading stops behind an open request, so most of a longer request waits in the kernel, and that time was not known. The body's arrival was not looked at either: a request counts from its last byte.

Change: what is read after a pause is as old as the kernel says (time since data last came, a lower bound); a complete request counts from the arrival of its last byte, one whose rest is streamed from the end of its body, as before.

--- a/opalgauge/wire/client_connection.py
+++ b/opalgauge/wire/client_connection.py
@@ -15,7 +15,7 @@
 
 from opalgauge.memory.buffers import HEAD_READ_SIZE, KIB, READER_LIMIT, head_memory
 from opalgauge.wire.read_limiter import LimitedProtocol
-from opalgauge.wire.socket_state import is_closed_by_peer, unsent_bytes
+from opalgauge.wire.socket_state import data_age, is_closed_by_peer, unsent_bytes
 
 MAX_REQUEST_HEAD = 32 * KIB  # bytes
 MAX_HEAD_FIELDS = 128
@@ -58,8 +58,8 @@
     """
 
     __slots__ = (
-        "lingering", "dropped_bytes", "queue_delay", "max_read", "head_size", "head_fields", "unparsed",
-        "unparsed_at", "parsed_at", "observer", "open_body", "disconnect_timer", "body_held",
+        "lingering", "dropped_bytes", "accept_delay", "max_read", "head_size", "head_fields", "unparsed",
+        "unparsed_at", "parsed_at", "reads_late", "observer", "open_body", "disconnect_timer", "body_held",
     )  # fmt: skip
 
     def __init__(self, manager: Any, observer: ConnectionObserver, **options: Any) -> None:
@@ -77,13 +77,14 @@
         self.max_read = HEAD_READ_SIZE
         self.head_size = self.head_fields = 0  # bytes and lines of the request that is being read
         self.unparsed = b""  # what has come behind the open request and behind what the parser keeps
-        # Loop times at which the last bytes of `unparsed`, and of what the parser was given, were read.
+        # Loop times at which the last bytes of `unparsed`, and of what the parser was given, arrived.
         self.unparsed_at = self.parsed_at = 0.0
+        self.reads_late = False  # what is read may have waited in the kernel while reading was paused
         self.body_held = False  # the rest of a request's body is not read until `release_reading`
         self.open_body: StreamReader | None = None  # the body of the open request; None: no request is open
         self.disconnect_timer: asyncio.TimerHandle | None = None
-        # s for which the open request waited until it was parsed: to be accepted, or behind another request
-        self.queue_delay = 0.0
+        # s for which the first request waited in the kernel before the connection was accepted
+        self.accept_delay = 0.0
 
     # --- callbacks of asyncio and aiohttp ------------------------------------------------------------------
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -114,7 +115,7 @@
             return
         if data:
             self.unparsed += data
-            self.unparsed_at = self._loop.time()
+            self.unparsed_at = self._loop.time() - self._take_read_delay()
         received = self.unparsed
         if not self.has_complete_request:
             self._parse_next()
@@ -124,6 +125,18 @@
         elif received and self.open_body is None and self.observer is not None:
             self._report_partial_head(received)
 
+    def _take_read_delay(self) -> float:
+        """How long the last bytes that came have waited in the kernel at least (s)."""
+        if not self.reads_late or self.transport is None:
+            return 0.0
+        delay = data_age(self.transport)
+        self.reads_late = delay > 0
+        return delay
+
+    def _resume_reading_for_buffer(self) -> None:
+        self.reads_late = True
+        super()._resume_reading_for_buffer()
+
     def _parse_next(self) -> None:
         """Parses on until a request is complete: first what the parser keeps, then what came behind it."""
         self._parse(b"")
@@ -147,7 +160,6 @@
     def _open_request(self, message: RawRequestMessage | _ErrInfo, body: StreamReader) -> None:
         """Passes a request that has begun on to aiohttp's handler."""
         self.open_body = body
-        self.queue_delay += self._loop.time() - self.parsed_at
         self._request_count += 1
         self._messages.append((message, body))
         if self._waiter is not None and not self._waiter.done():
@@ -212,6 +224,16 @@
         return handler
 
     # --- calls of the clients' server ----------------------------------------------------------------------
+    def take_accept_delay(self) -> float:
+        """How long the first request waited to be accepted (s); 0 for any later one."""
+        accept_delay, self.accept_delay = self.accept_delay, 0.0
+        return accept_delay
+
+    @property
+    def time_since_arrival(self) -> float:
+        """How long ago the last byte of the open request arrived (s), if it is complete."""
+        return self._loop.time() - self.parsed_at
+
     @property
     def head_memory(self) -> int:
         """The bytes that the part of a head takes that has come."""
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -272,7 +272,7 @@
         connection = self.server()
         if not isinstance(connection, ClientConnection):
             return connection
-        connection.queue_delay = accept_delay
+        connection.accept_delay = accept_delay
         return ReadLimiter(connection)
 
     def stop_accepting(self) -> None:
@@ -441,7 +441,8 @@
             pending.answer.set_result((effect, stream))
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        queue_delay = self._take_queue_delay(request)
+        connection = request.protocol
+        accept_delay = connection.take_accept_delay() if isinstance(connection, ClientConnection) else 0.0
         if request.raw_path == "/ready":
             return await self._answer_directly(request, 200 if self.is_ready() else 503)
         client_id = self.client_ids.get(request.protocol)
@@ -449,7 +450,7 @@
             return web.Response(status=400)  # disconnected before its request was read
         try:
             received = await self._read_request(request, client_id)
-            received.time_left = max(ZERO, received.time_left - queue_delay)
+            received.time_left = max(ZERO, received.time_left - self._time_waited(received, accept_delay))
         except MalformedRequest as error:
             self.report(RequestDiscarded(client_id))
             # What is left of a body that was not read to its end would be taken for the next request.
@@ -492,17 +493,15 @@
         size = connection.head_size if isinstance(connection, ClientConnection) else 0
         return head_memory(size + HEAD_READ_SIZE if size else 0, len(request.headers))
 
-    @staticmethod
-    def _take_queue_delay(request: web.BaseRequest) -> timedelta:
-        """How long a request waited to be accepted, or behind the one before it on its connection.
+    def _time_waited(self, received: RequestReceived, accept_delay: float) -> timedelta:
+        """How long a request has waited: to be accepted, or whole behind the one before it.
 
-        It is deducted from the time left, so that servers are not told of time that the client no longer has.
+        Servers are not told of time that the client no longer has.
         """
-        connection = request.protocol
-        if not isinstance(connection, ClientConnection):
-            return ZERO
-        queue_delay, connection.queue_delay = timedelta(seconds=connection.queue_delay), 0.0
-        return queue_delay
+        connection = self.connections.get(received.client_id)
+        if isinstance(connection, ClientConnection) and not received.http_request.has_more_body:
+            accept_delay += connection.time_since_arrival
+        return timedelta(seconds=accept_delay)
 
     async def _await_answer(self, request: web.BaseRequest, received: RequestReceived) -> web.StreamResponse:
         complete = not received.http_request.has_more_body
--- a/opalgauge/wire/socket_state.py
+++ b/opalgauge/wire/socket_state.py
@@ -82,13 +82,28 @@
         borrowed.detach()
 
 
+def data_age(transport: asyncio.BaseTransport) -> float:
+    """Seconds since data last arrived on a connection; 0 on an error."""
+    borrowed = _borrow_socket(transport)
+    if borrowed is None:
+        return 0.0
+    try:
+        return _last_data_recv(borrowed)
+    except (OSError, struct.error):
+        return 0.0
+    finally:
+        borrowed.detach()
+
+
+def _last_data_recv(sock: socket.SocketType) -> float:
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECV_OFFSET + LAST_DATA_RECV.size)
+    return float(LAST_DATA_RECV.unpack_from(info, LAST_DATA_RECV_OFFSET)[0]) / 1000
+
+
 def last_data_age(accepted: socket.socket) -> float:
     """Seconds since data last arrived on a newly accepted connection; 0 if none has, or on an error."""
     try:
         accepted.recv(1, socket.MSG_PEEK)
-        info = accepted.getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECV_OFFSET + LAST_DATA_RECV.size
-        )
-        return float(LAST_DATA_RECV.unpack_from(info, LAST_DATA_RECV_OFFSET)[0]) / 1000
+        return _last_data_recv(accepted)
     except (OSError, struct.error):
         return 0.0
--- a/tests/pipelined_requests.py
+++ b/tests/pipelined_requests.py
@@ -21,6 +21,21 @@
 MAX_PARTS = 6  # in which a batch is written, at most
 
 
+def digest_of(method: str, target: str, body: bytes) -> str:
+    """Identifies a request by all that a server must get unchanged."""
+    return hashlib.sha256(b"%s %s\n" % (method.encode(), target.encode()) + body).hexdigest()[:16]
+
+
+def encode_chunks(body: bytes, sizes: tuple[int, ...]) -> bytes:
+    """Returns a chunked body; its chunks take the sizes in turn."""
+    encoded, position, next_sizes = bytearray(), 0, itertools.cycle(sizes)
+    while position < len(body):
+        chunk = body[position : position + next(next_sizes)]
+        encoded += b"%x\r\n%s\r\n" % (len(chunk), chunk)
+        position += len(chunk)
+    return bytes(encoded + b"0\r\n\r\n")
+
+
 @dataclass(frozen=True)
 class Message:
     """A request as its client means it."""
@@ -30,32 +45,23 @@
     body: bytes = b""
     chunk_sizes: tuple[int, ...] = ()  # of a chunked body; empty: its length is stated
     extra_fields: str = ""  # of its head, complete lines
+    time_left: str = TIME_LEFT
 
     def digest(self) -> str:
-        return hashlib.sha256(
-            b"%s %s\n" % (self.method.encode(), self.target.encode()) + self.body
-        ).hexdigest()
+        return digest_of(self.method, self.target, self.body)
 
     def encode(self, correlation_id: str, account: int) -> bytes:
         """Returns its bytes as a client writes them."""
         fields = self.extra_fields + ("Transfer-Encoding: chunked\r\n" if self.chunk_sizes else "")
-        head = harness.request(self.method, self.target, b"", fields, TIME_LEFT, correlation_id).replace(
+        head = harness.request(self.method, self.target, b"", fields, self.time_left, correlation_id).replace(
             b"customer=00000000b4d65521", b"customer=%016x" % account
         )
         if self.chunk_sizes:
-            return head + self._chunks()
+            return head + encode_chunks(self.body, self.chunk_sizes)
         if self.body:
             head = head[:-2] + b"Content-Length: %d\r\n\r\n" % len(self.body)
         return head + self.body
 
-    def _chunks(self) -> bytes:
-        encoded, position, sizes = bytearray(), 0, itertools.cycle(self.chunk_sizes)
-        while position < len(self.body):
-            chunk = self.body[position : position + next(sizes)]
-            encoded += b"%x\r\n%s\r\n" % (len(chunk), chunk)
-            position += len(chunk)
-        return bytes(encoded + b"0\r\n\r\n")
-
 
 def get(number: int = 0) -> Message:
     return Message("GET", f"/stock-check/{number}?part={number}")
--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -87,20 +87,22 @@
 
 
 async def wait_behind_a_slow_request() -> list[str]:
-    """The times that a server was told of two requests, one of which waited behind the other."""
+    """The times that a server was told of requests that waited behind each other."""
     exchanges = Exchanges()
     async with (
         checked_ingress(exchanges, answer_delay=ANSWER_DELAY) as ingress,
         PipeliningClient.connect(exchanges, ingress.address, "waiting") as client,
     ):
-        await client.exchange([post(5), get(1)])
+        await client.exchange([replace(post(size), time_left="2.5") for size in (5, 9000, 5)])
     assert not exchanges.faults
     return exchanges.times_left
 
 
 def test_time_behind_another_request_is_deducted_from_the_time_left() -> None:
-    first, second = map(float, asyncio.run(wait_behind_a_slow_request()))
+    """Most of the second request waits in the kernel, and the third behind it."""
+    first, second, third = map(float, asyncio.run(wait_behind_a_slow_request()))
     assert second <= first - ANSWER_DELAY + TIMER_SLACK
+    assert third <= first - 2 * ANSWER_DELAY + TIMER_SLACK
 
 
 def test_drawn_pipelined_requests_keep_their_bytes_and_answers() -> None:
