--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -1267,8 +1267,13 @@
         if state.list_heard or config.list_first_answer_wait is None:
             return config.list_wait + config.list_wait_slack
         state.unheard_list_requests += 1
-        is_one_of_the_first = state.unheard_list_requests <= config.list_first_requests
-        return config.list_first_answer_wait if is_one_of_the_first else config.list_first_pause
+        return config.list_first_answer_wait if self._asks_first_list_quickly() else config.list_first_pause
+
+    def _asks_first_list_quickly(self) -> bool:
+        """Whether the agent was never heard, and has not been asked often enough to be taken for down."""
+        config, state = self.config, self.state
+        unheard = not state.list_heard and config.list_first_answer_wait is not None
+        return unheard and state.unheard_list_requests <= config.list_first_requests
 
     def _settle_list(self) -> None:
         if not self.state.list_settled:
@@ -1289,7 +1294,7 @@
         if connection.id != state.list_connection_id or connection.since != asked_at:
             return
         if connection.id in state.connections:
-            if len(self._list_connections()) > 1 and state.list_settled:
+            if len(self._list_connections()) > 1 and not self._asks_first_list_quickly():
                 self._log_list_unreachable("agent not answering; serving on with the list as last told")
             state.list_connection_id = 0
             self._open_list_connection()
