Let the soak pipeline, compare every byte, step clocks, leave agents silent at a start and press a ceiling

Checks: method, target and body under each id; the ceiling's store by account; drains that the agent had as a process started.

The checker excuses what a process held that was killed without being asked to stop, where the answer broke off at the kill.

Measured: tests of the checker pass.

--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -44,6 +44,9 @@
     status: int = 0
     ended: float = math.inf
     repeats: str = ""  # name of the request that it repeats: the ingress closed that one's connection unread
+    digest: str = ""  # of method, target and body
+    account: int = 0
+    units: float = 0.0
 
 
 @dataclass
@@ -58,6 +61,7 @@
     ran: bool  # False if it was rejected unprocessed, or dropped as a repeat of a known idempotency key
     ended: float = math.inf  # when it was answered, or its connection ended
     harmed: bool = False  # the server or the path broke its connection off
+    digest: str = ""  # of method, target and body
 
 
 @dataclass
@@ -67,8 +71,9 @@
     server: int
     capacity: float  # requests/s after slow start
     started: float  # -inf if it started long before the run
-    # By instance: when it was told that the server drains.
+    # By instance: when it was told that the server drains, and when its agent had this.
     drain_told: dict[int, float] = field(default_factory=dict)
+    drain_known: dict[int, float] = field(default_factory=dict)
 
 
 @dataclass
@@ -83,6 +88,7 @@
     ended: float = math.inf
     code: int | None = None
     faults: int = 0  # log lines that report an internal error
+    crashed: bool = False  # it was killed without being asked to stop
     descriptors: int = 0  # highest number sampled
     memory_mb: float = 0.0  # highest resident size sampled
 
@@ -100,6 +106,10 @@
     stop_sending_time: float  # from the news that a server drains until it gets no further attempt
     descriptors: int
     memory_mb: float
+    # Of the plan's hard ceiling: units a second, at once after a pause, and by which it may be passed.
+    ceiling_rate: float = 0.0
+    ceiling_burst: float = 0.0
+    ceiling_slack: float = 0.0
     max_start_time: float = 10.0  # from the start of a process until it serves
 
 
@@ -112,4 +122,6 @@
     attempts: list[AttemptRecord] = field(default_factory=list)
     servers: list[ServerRecord] = field(default_factory=list)
     processes: list[ProcessRecord] = field(default_factory=list)
+    # By instance: from when to when its agent was silent or its path there had a fault.
+    agent_troubles: dict[int, list[tuple[float, float]]] = field(default_factory=dict)
     lag: float = 0.0  # seconds that the stand-ins' event loop was late, at most
--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -110,6 +110,28 @@
         records.attempts.append(AttemptRecord(f"x{number}", 2, 2.05, 2.05, 1.8, True, 2.1))
 
 
+def change_content(records: Records) -> None:
+    records.attempts[0].digest = "other"
+
+
+def pass_ceiling(records: Records) -> None:
+    records.limits = replace(LIMITS, ceiling_rate=10.0, ceiling_burst=20.0, ceiling_slack=3.0)
+    for request in records.requests:
+        request.units = 20.0
+    records.requests[2].sent = 1.0
+    records.attempts[1] = replace(records.attempts[1], began=1.1, whole=1.1)
+
+
+def send_to_draining_server_after_a_start(records: Records) -> None:
+    records.servers[1].drain_known[0] = 0.0
+    records.processes[0] = replace(records.processes[0], began=0.1)
+
+
+def lose_answer_away_from_a_crash(records: Records) -> None:
+    lose_answer(records)
+    records.processes[0] = replace(records.processes[0], killed=3.0, ended=3.0, crashed=True)
+
+
 def crash(records: Records) -> None:
     records.processes[0] = replace(records.processes[0], ended=3.0, code=-11)
 
@@ -141,6 +163,8 @@
     (refuse_after_running, "refused"), (forward_for_closed_client, "gone"), (tell_too_much_time, "deadline"),
     (send_to_draining_server, "drain"), (overload_cold_server, "slow start"), (crash, "crash"),
     (exit_with_failure, "crash"), (never_become_ready, "not ready"), (log_defect, "defect"),
+    (change_content, "content"), (pass_ceiling, "ceiling"), (lose_answer_away_from_a_crash, "lost"),
+    (send_to_draining_server_after_a_start, "drain at a start"),
     (open_too_many_descriptors, "limits"), (use_too_much_memory, "limits"),
 ]  # fmt: skip
 
@@ -161,6 +185,30 @@
     assert ended_at_kill(records, violation)
 
 
+def test_what_a_killed_process_held_is_not_lost() -> None:
+    records = clean_records()
+    lose_answer(records)
+    killed = records.requests[0].ended - 0.002
+    records.processes[0] = replace(
+        records.processes[0], killed=killed, ended=killed, asked=math.inf, crashed=True
+    )
+    assert not check_records(records)
+
+
+def test_a_drain_that_an_unheard_agent_has_is_not_told() -> None:
+    records = clean_records()
+    send_to_draining_server_after_a_start(records)
+    records.agent_troubles[0] = [(0.5, 2.0)]
+    assert not check_records(records)
+
+
+def test_a_ceiling_holds_for_each_account_and_counts_a_request_once() -> None:
+    records = clean_records()
+    pass_ceiling(records)
+    records.requests[2].account = 7
+    assert not check_records(records)
+
+
 def test_limits_of_the_rules() -> None:
     assert kill_delay(0.4) == pytest.approx(1.1) and kill_delay(8.0) == pytest.approx(3.7)
     assert slow_start_budget(0.2, 20.0, LIMITS) == pytest.approx(15 + 3 * math.sqrt(15) + 3)
@@ -194,6 +242,8 @@
         {d.idle_crowd for d in drawn}
         == {d.system_call_faults for d in drawn}
         == {d.rolling_upgrades for d in drawn}
+        == {d.clock_steps for d in drawn}
+        == {d.has_ceiling for d in drawn}
         == {True, False}
     )
     assert {d.instances for d in drawn} == {1, 2, 3, 4}
