--- a/tests/test_soak_checker.py
+++ b/tests/test_soak_checker.py
@@ -118,8 +118,6 @@
     records.limits = replace(LIMITS, ceiling_rate=10.0, ceiling_burst=20.0, ceiling_slack=3.0)
     for request in records.requests:
         request.units = 20.0
-    records.requests[2].sent = 1.0
-    records.attempts[1] = replace(records.attempts[1], began=1.1, whole=1.1)
 
 
 def send_to_draining_server_after_a_start(records: Records) -> None:
