Count an answer whose head has come as begun, not as load, so that slow bodies shed nothing

Cause: the time of the whole answer counted as load. One answer of 2.5 times the aim, with nothing else known, sheds nearly all that follows for some seconds.

Change: the decisions hear when an answer's head has come (`AnswerStarted`). The attempt leaves the load there, and its time until then counts. Attempts that end without an answer, and those whose head is late, count as before.

Measured: the new test fails before (429 for the second request on), six of six are 200 after; the tests of slow servers, servers, rules, the reducer, races, upstream, quotas and the simulator's link pass.

--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -979,7 +979,10 @@
             return
         is_first_part, connection.answer_part_at = connection.answer_part_at is None, self.now
         connection.answer_parts += event.head_complete
-        if connection.destination is effects.Destination.SERVER_LIST:
+        if connection.destination is effects.Destination.SERVER:
+            if event.head_complete and connection.answer_parts == 1 and (attempt := connection.attempt):
+                self.gateway_events.append(interface.AnswerStarted(attempt.request_id, attempt.number))
+        elif connection.destination is effects.Destination.SERVER_LIST:
             if is_first_part:
                 ask_again = self.now + self.config.list_answer_wait
                 self._schedule(ask_again, self._list_overdue, connection, connection.since)
--- a/starlinggap/brain.py
+++ b/starlinggap/brain.py
@@ -87,6 +87,7 @@
         # sent_at: for a request with a body, when the body was written.
         # kept_connection: True if on a kept idle connection, False on a new one, None on one already in use.
         # is_load: whether it counts as load, which it does while it is timed and not yet overdue.
+        # answer_started_at: when the head of its answer came, ahead of the rest; infinite: not yet.
         self.request, self.server, self.sent_at, self.kept_connection, self.is_load = (
             request,
             server,
@@ -94,6 +95,7 @@
             kept_connection,
             False,
         )
+        self.answer_started_at = math.inf
 
 
 class PendingRequest:
@@ -262,6 +264,9 @@
                 if event.attempt in request.in_flight:
                     request.deadline = self.now + request.event.budget
                     self.start_timing(request, request.attempts[event.attempt])
+            elif isinstance(event, interface.AnswerStarted) and (request := self.requests.get(event.request)):
+                if event.attempt in request.in_flight:
+                    self.start_answer(request.attempts[event.attempt])
             elif isinstance(event, interface.StreamStarted) and (request := self.requests.get(event.request)):
                 request.streaming = True
         if (
@@ -865,6 +870,12 @@
         self.in_flight_inverse_aims += 1 / request.aim
         self.in_flight_start_ratios += self.now / request.aim
 
+    def start_answer(self, attempt: Attempt) -> None:
+        """Takes an attempt whose answer has begun out of the load: the rest comes as its server writes it."""
+        self.decay()
+        attempt.answer_started_at = self.now
+        self.end_attempt(attempt, False)
+
     def use_kept_connection(self, server_id: int, server: Server) -> bool | None:
         """Whether the next attempt there uses a kept idle connection; None: there is one in use.
 
@@ -980,10 +991,10 @@
             return
         if request.in_flight.pop(event.attempt, None) is not None:
             request.account.open_attempts = max(0, request.account.open_attempts - 1)
-            attempt, elapsed = (
-                request.attempts[event.attempt],
-                self.now - request.attempts[event.attempt].sent_at,
-            )
+            attempt = request.attempts[event.attempt]
+            elapsed = self.now - attempt.sent_at
+            if event.end is End.OK:
+                elapsed = min(elapsed, attempt.answer_started_at - attempt.sent_at)
             may_be_slow = (
                 elapsed < LOST_TIME_FACTOR * self.usual_times[request.event.cls % len(self.usual_times)]
             )
@@ -992,7 +1003,8 @@
             if server:
                 server.connection_used_at = self.now if answered else -math.inf
             self.decay()
-            self.end_attempt(attempt, lost if lost or answered else None)
+            if attempt.answer_started_at == math.inf:
+                self.end_attempt(attempt, lost if lost or answered else None)
             if not lost and event.end in (End.OK, End.REJECTED, End.TIMEOUT, End.CANCELLED):
                 aim_ratio = max(elapsed / request.aim, float(event.end in (End.REJECTED, End.TIMEOUT)))
                 self.recent_answers, self.recent_aim_ratios = (
--- a/starlinggap/interface.py
+++ b/starlinggap/interface.py
@@ -226,6 +226,14 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerStarted:
+    """The head of an attempt's answer has come. How long the rest takes is no sign of load."""
+
+    request: int
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class ClientGone:
     """The client has disconnected and gets no answer any more."""
@@ -276,6 +284,7 @@
     | Outcome
     | StreamStarted
     | RequestWritten
+    | AnswerStarted
     | ClientGone
     | ProbeOutcome
     | TimerFired
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -120,6 +120,21 @@
     asyncio.run(scenario())
 
 
+def test_answers_whose_bodies_come_late_refuse_no_later_requests() -> None:
+    """Guards against one slow body that is taken for an overload, so that all that follows is shed."""
+
+    async def scenario() -> None:
+        async with ingress_with(answer_slowly) as ingress:
+            answers = [
+                await ask(ingress, method, f"/{request_class}/body-late/{framing}")
+                for framing in FRAMINGS
+                for method, request_class in (("GET", "stock-check"), ("POST", "place-order"))
+            ]
+            assert answers == ["http/1.1 200 ok"] * 6
+
+    asyncio.run(scenario())
+
+
 def test_an_answer_that_stops_before_it_goes_on_is_failed_in_time() -> None:
     """Guards against passing on an answer that never becomes whole, of which its client learns too late."""
 
