--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 
 import pytest
 
@@ -47,3 +49,35 @@
             assert count == times_run
 
     asyncio.run(scenario())
+
+
+def test_an_id_that_comes_again_after_a_close_behind_more_than_the_kernel_takes() -> None:
+    """Guards against an id taken for open whose client's end stands behind bytes that nobody reads."""
+
+    async def scenario() -> None:
+        received = asyncio.Queue[bytes]()
+        is_answering = False
+
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                await received.put(await harness.read_request(reader))
+                if is_answering:
+                    writer.write(harness.OK)
+
+        async with ingress_with(script) as ingress:
+            request = harness.request("GET", "/stock-check")
+            with contextlib.closing(socket.create_connection(ingress.address)) as departing:
+                departing.sendall(request)
+                first = await asyncio.wait_for(received.get(), 20)
+                assert b"9b1f03aa5c7e2d41" in first
+                departing.setblocking(False)
+                with contextlib.suppress(BlockingIOError):
+                    while True:
+                        departing.send(
+                            harness.request("POST", "/place-order", bytes(60_000), correlation_id="b")
+                        )
+            is_answering = True
+            await asyncio.sleep(0.01)
+            assert (await ingress.exchange(request)).split(b" ")[1] == b"200"
+
+    asyncio.run(scenario())
