Say once when an agent is unheard, and parse on once behind an answer

On reading the whole change again. Behaviour stays as it is.

- Reducer: three conditions for an agent that was never heard are one property, from which the others follow.
- ClientConnection: behind an answer the next request was parsed for, and then again when reading was resumed; once is enough.
- config.py: the time for a first answer stood among the three that hold where the list must be asked for; its comment counts three.
- test_slow_servers read an answer of either framing with a copy of read_message; its assertions are the same.

--- a/opalgauge/lifecycle/config.py
+++ b/opalgauge/lifecycle/config.py
@@ -25,11 +25,11 @@
 DIAL_TIMEOUT_SHARE = 0.4
 # Share of the time after which a server closes an idle connection, so that the ingress closes it first.
 IDLE_TIMEOUT_SHARE = 0.6
+# An agent answers what it has at once; where it does not, it is asked again over another connection.
+LIST_FIRST_ANSWER_WAIT = timedelta(milliseconds=100)
 # The following three hold if discovery answers on request only. It then serves all ingresses in turn, and a
 # request that is given up has used a turn that another ingress could have had.
 LIST_WAIT = timedelta(seconds=20)
-# An agent answers what it has at once; where it does not, it is asked again over another connection.
-LIST_FIRST_ANSWER_WAIT = timedelta(milliseconds=100)
 LIST_FLEET_TURN = timedelta(milliseconds=100)  # per ingress: discovery served 6 to 12 lists a second
 LIST_MAX_PAUSE = timedelta(seconds=8)
 RESERVED_SOCKETS = 48  # listener, discovery, quota counter, standard streams and the event loop's own
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -1256,27 +1256,30 @@
     def _write_list_request(self, connection: Connection) -> None:
         config, state = self.config, self.state
         # The list in the configuration file may be old, and of another count of versions.
-        asks_for_all = not state.list_heard and config.list_first_answer_wait is not None
-        since_version = None if asks_for_all else state.list_version
+        since_version = state.list_version if self._first_answer_wait is None else None
         self.effects.append(effects.AskServerList(connection.id, since_version, config.list_wait))
         connection.since = self.now
         self._schedule(self.now + self._list_answer_wait(), self._list_overdue, connection, self.now)
         give_up_at = self.now + config.list_wait + config.list_told_within
         self._schedule(give_up_at, self._list_timed_out, connection, self.now)
 
+    @property
+    def _first_answer_wait(self) -> timedelta | None:
+        """The time for an answer of an agent that was never heard; None: it is asked as usual."""
+        return None if self.state.list_heard else self.config.list_first_answer_wait
+
     def _list_answer_wait(self) -> timedelta:
         """How long an answer is waited for before the agent is asked over another connection as well."""
-        config, state = self.config, self.state
-        if state.list_heard or config.list_first_answer_wait is None:
-            return config.list_wait + config.list_wait_slack
-        state.unheard_list_requests += 1
-        return config.list_first_answer_wait if self._asks_first_list_quickly() else config.list_first_pause
+        first_answer_wait = self._first_answer_wait
+        if first_answer_wait is None:
+            return self.config.list_wait + self.config.list_wait_slack
+        self.state.unheard_list_requests += 1
+        return first_answer_wait if self._asks_first_list_quickly() else self.config.list_first_pause
 
     def _asks_first_list_quickly(self) -> bool:
         """Whether the agent was never heard, and has not been asked often enough to be taken for down."""
-        config, state = self.config, self.state
-        unheard = not state.list_heard and config.list_first_answer_wait is not None
-        return unheard and state.unheard_list_requests <= config.list_first_requests
+        asked_often = self.state.unheard_list_requests > self.config.list_first_requests
+        return self._first_answer_wait is not None and not asked_often
 
     def _settle_list(self) -> None:
         if not self.state.list_settled:
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -69,9 +69,8 @@
     list_first_answer_wait: timedelta | None = None
     list_first_requests: int = 10  # so many requests follow each other after that time; the agent may be down
     list_first_pause: timedelta = timedelta(seconds=1)  # between further ones, until it is heard
-    list_ready_wait: timedelta = timedelta(
-        milliseconds=500
-    )  # for which a start waits until the agent is heard
+    # For which a start waits until the agent is heard.
+    list_ready_wait: timedelta = timedelta(milliseconds=500)
     # From an answer's first byte, before the same: the rest may never come.
     list_answer_wait: timedelta = timedelta(seconds=1)
     # After `list_wait`, before an answer is given up. A change counts as told so long after the agent had it.
--- a/opalgauge/wire/client_connection.py
+++ b/opalgauge/wire/client_connection.py
@@ -212,9 +212,10 @@
             return
         self.open_body, self.max_read, self.body_held = None, HEAD_READ_SIZE, False
         self.head_size = self.head_fields = 0
-        self.data_received(b"")
         if self._buffer_paused:
             self._resume_reading_if_drained()
+        else:
+            self.data_received(b"")
 
     def _make_error_handler(self, err_info: Any) -> Any:
         make_response = super()._make_error_handler(err_info)
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -10,6 +10,7 @@
 import pytest
 
 from tests import harness
+from tests.pipelined_requests import read_message
 from tests.test_long_bodies import MB, OK_HEAD, ingress_with
 
 SIZE = 100_000  # bytes of an answer
@@ -72,16 +73,8 @@
 
 async def read_answer(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
     """Reads an answer in whatever framing; returns its status line and its body."""
-    head = (await reader.readuntil(b"\r\n\r\n")).lower()
-    status_line = head.split(b"\r\n")[0]
-    if b"transfer-encoding: chunked" not in head:
-        size = int(head.split(b"content-length:")[1].split(b"\r\n")[0])
-        return status_line, await reader.readexactly(size)
-    body = bytearray()
-    while size := int(await reader.readline(), 16):
-        body += (await reader.readexactly(size + 2))[:-2]
-    await reader.readline()
-    return status_line, bytes(body)
+    head, body = await read_message(reader)
+    return head.lower().split(b"\r\n")[0], body
 
 
 async def ask(ingress: harness.Ingress, method: str, target: str) -> str:
