Take an id again whose client's end stood behind bytes that were not read

Cause: while a request is open and complete, what follows it isn't read. Once both kernels' buffers are full, the close stays in the client's kernel, so neither the loop nor the socket's state shows it, and the id counted as open for a client that waits.

Change: a request whose id is open is held for 0.2 s at most, with its time running on. Meanwhile the earlier client's connection is read and what comes is dropped (16 MiB at most). If its end comes, the earlier request is withdrawn and the held one goes on: it is sent, or answered 502 if it may have run, also where its answer went out to nobody. Otherwise 400 as before; at once where nothing is unread. With several workers, and while a body is still coming, the answer is 400 as before.

--- a/opalgauge/memory/effects.py
+++ b/opalgauge/memory/effects.py
@@ -176,6 +176,16 @@
     client_id: int
 
 
+@dataclass(slots=True)
+class DropUnreadBytes:
+    """Read and drop what a client sent behind its open request, as the end of its connection may follow.
+
+    The answer to the open request then ends the connection.
+    """
+
+    client_id: int
+
+
 @dataclass(slots=True)
 class StopReadingBodies:
     """Stop reading the bodies of requests that were not reported as `RequestReceived`, and answer those."""
@@ -306,6 +316,7 @@
     | CloseClient
     | AbortClient
     | RefuseIncomplete
+    | DropUnreadBytes
     | StopReadingBodies
     | WakeAt
     | StopAccepting
--- a/opalgauge/memory/events.py
+++ b/opalgauge/memory/events.py
@@ -199,6 +199,13 @@
     client_id: int
 
 
+@dataclass(slots=True)
+class NothingUnread:
+    """A client has sent nothing behind its open request that would hide the end of its connection."""
+
+    client_id: int
+
+
 @dataclass(slots=True)
 class ConnectionOpened:
     """A connection that the reducer asked for is open."""
@@ -439,6 +446,7 @@
     | WorkerLost
     | ClientConnected
     | ClientDisconnected
+    | NothingUnread
     | MemoryMeasured
     | RequestHeadStarted
     | RequestBodyStarted
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -32,6 +32,7 @@
 from opalgauge.memory.bans import InvalidBans, bans_from_plain, bans_to_plain
 from opalgauge.memory.buffers import CONNECTION_MEMORY, MIB
 from opalgauge.memory.drain import DrainSchedule, min_time_to_kill
+from opalgauge.memory.duplicates import HeldDuplicate
 from opalgauge.memory.effects import Reason
 from opalgauge.memory.state import (
     AnswerStream,
@@ -55,6 +56,7 @@
 MIN_BLOCKED_TIME = timedelta(milliseconds=50)  # for which a server may pause whatever time is left
 MIN_ANSWER_PARTS = 2  # after which a server is taken to be writing an answer
 MAX_ABANDONED_IDS = 1000  # that are remembered
+MAX_DEPARTURE_WAIT = timedelta(milliseconds=200)  # to learn whether a client with an open request has left
 BANS_KEY = "bans"  # of the bans in what one process hands over to the next
 MICROSECOND = timedelta(microseconds=1)
 
@@ -97,6 +99,7 @@
             events.WorkerLost: self._worker_lost,
             events.ClientConnected: self._client_connected,
             events.ClientDisconnected: self._client_disconnected,
+            events.NothingUnread: self._nothing_unread,
             events.MemoryMeasured: self._memory_measured,
             events.RequestHeadStarted: self._request_head_started,
             events.RequestBodyStarted: self._request_body_started,
@@ -179,6 +182,7 @@
             state.draining
             and not state.requests
             and not state.streams
+            and not state.held_duplicates
             and not being_read
             and not state.exited
             and (state.idle_clients_closed or state.has_successor and not kept_clients)
@@ -296,7 +300,8 @@
             return None
         if http_request.correlation_id in state.open_correlation_ids:
             # Another open request has this ID: the answers to the two could not be told apart.
-            self._reject(event.request_id, event.client_id, 400, Reason.ID_IN_USE)
+            if worker is not None or not self._hold_duplicate(event, memory):
+                self._reject(event.request_id, event.client_id, 400, Reason.ID_IN_USE)
             return None
         if http_request.correlation_id in state.abandoned_ids:
             state.statistics.failed[event.class_index] += 1
@@ -314,7 +319,7 @@
                     event.request_id, event.client_id, 429, Reason.STOPPING, self._short_retry_after()
                 )
                 return None
-        state.open_correlation_ids.add(event.http_request.correlation_id)
+        state.open_correlation_ids[event.http_request.correlation_id] = event.request_id
         answer_by = self._fallback_time(time_left)
         budget = max(time_left - config.gateway_margin, time_left / 4)
         has_more_body = event.http_request.has_more_body
@@ -356,7 +361,7 @@
         state = self.state
         request = state.requests.pop(request_id, None)
         if request is not None:
-            state.open_correlation_ids.discard(request.http_request.correlation_id)
+            del state.open_correlation_ids[request.http_request.correlation_id]
             state.memory_in_use -= request.memory
             self.timers.cancel(request.overdue_timer)
         return request
@@ -415,6 +420,56 @@
             state.statistics.abandoned += 1
             self._remember_abandoned(request)
             self._withdraw(request)
+        if request_id is not None:
+            self._release_duplicate(state.held_duplicates.take_request(request_id))
+        self._resume_duplicate(event.client_id)
+
+    # --- requests whose id is open already -----------------------------------------------------------------
+    def _hold_duplicate(self, event: events.RequestReceived, memory: int) -> bool:
+        """Holds a request until it is known whether the client of the open one with its id has left.
+
+        The end of that client's connection may stand behind bytes that are not read while its request is
+        open. Returns False if the request cannot be held.
+        """
+        state = self.state
+        earlier = state.requests[state.open_correlation_ids[event.http_request.correlation_id]]
+        if earlier.time_after_body is not None:
+            return False
+        if not state.held_duplicates.has_room_behind(earlier.client_id):
+            return False
+        state.held_duplicates.add(HeldDuplicate(event, earlier.client_id, self.now, memory))
+        state.memory_in_use += memory
+        state.clients_waiting[event.client_id] = event.request_id
+        self.effects.append(effects.DropUnreadBytes(earlier.client_id))
+        until = self._before_kill(self.now + MAX_DEPARTURE_WAIT)
+        self._schedule(until, self._reject_duplicate, event.request_id)
+        return True
+
+    def _release_duplicate(self, duplicate: HeldDuplicate | None) -> HeldDuplicate | None:
+        """Takes a held request out of the state, if there is one."""
+        if duplicate is not None:
+            self.state.memory_in_use -= duplicate.memory
+            self.state.clients_waiting.pop(duplicate.received.client_id, None)
+        return duplicate
+
+    def _nothing_unread(self, event: events.NothingUnread) -> None:
+        duplicate = self.state.held_duplicates.by_earlier_client.get(event.client_id)
+        if duplicate is not None:
+            self._reject_duplicate(duplicate.received.request_id)
+
+    def _reject_duplicate(self, request_id: int) -> None:
+        """Rejects a held request: the client of the earlier one is still connected."""
+        duplicate = self._release_duplicate(self.state.held_duplicates.take_request(request_id))
+        if duplicate is not None:
+            self._reject(request_id, duplicate.received.client_id, 400, Reason.ID_IN_USE)
+
+    def _resume_duplicate(self, earlier_client_id: int) -> None:
+        """Takes a held request up: the client of the earlier one has left."""
+        duplicate = self._release_duplicate(self.state.held_duplicates.take(earlier_client_id))
+        if duplicate is not None:
+            received = duplicate.received
+            received.time_left = max(ZERO, received.time_left - (self.now - duplicate.since))
+            self._request_received(received)
 
     def _open_attempts(self, request: RequestInProgress) -> list[Attempt]:
         """The attempts of a request that have not ended."""
@@ -601,6 +656,8 @@
         if request := self._remove_request(request_id):
             state = self.state
             statistics = state.statistics
+            if state.held_duplicates.has_behind(request.client_id):
+                self._remember_abandoned(request)  # its client may have left, and have had no answer
             streamed = "stream_connection_id" in fields
             if not streamed:
                 class_counts = (
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -9,6 +9,7 @@
 
 from opalgauge.memory.buffers import MIB, MemoryLimits
 from opalgauge.memory.drain import DrainSchedule
+from opalgauge.memory.duplicates import HeldDuplicates
 from opalgauge.memory.effects import Destination
 from opalgauge.memory.events import BanStatus, HttpRequest, ListedServer
 from opalgauge.memory.timers import Timer
@@ -219,7 +220,8 @@
     memory: MemoryLimits
     bans: dict[int, BanStatus] = field(default_factory=dict)  # by server: also those that were lifted
     requests: dict[int, RequestInProgress] = field(default_factory=dict)
-    open_correlation_ids: set[str] = field(default_factory=set)  # of these requests
+    open_correlation_ids: dict[str, int] = field(default_factory=dict)  # to these requests
+    held_duplicates: HeldDuplicates = field(default_factory=HeldDuplicates)
     # Ids of requests that may have run when their clients left, and must not run twice; the oldest first.
     abandoned_ids: dict[str, None] = field(default_factory=dict)
     memory_in_use: int = 0  # bytes that requests, begun ones included, and answers take at most
--- a/opalgauge/wire/client_connection.py
+++ b/opalgauge/wire/client_connection.py
@@ -13,7 +13,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 from aiohttp.web_protocol import RequestHandler, RequestPayloadError, _ErrInfo
 
-from opalgauge.memory.buffers import HEAD_READ_SIZE, KIB, READER_LIMIT, head_memory
+from opalgauge.memory.buffers import HEAD_READ_SIZE, KIB, MAX_STREAM_READ, READER_LIMIT, head_memory
 from opalgauge.wire.read_limiter import LimitedProtocol
 from opalgauge.wire.socket_state import data_age, is_closed_by_peer, unsent_bytes
 
@@ -26,6 +26,7 @@
 DISCONNECT_POLL_INTERVAL = 0.04
 LINGER_TIME = 0.5  # s for which a client's bytes are read and dropped after its last answer
 MAX_LINGER_BYTES = 256 * 1024  # bytes that are read and dropped in that time
+MAX_UNREAD_BYTES = 16 * 1024 * KIB  # bytes that the kernels of both sides hold at most
 
 
 def drop_received_body(body: StreamReader) -> None:
@@ -53,14 +54,14 @@
 
     A request is open from its head until its answer has been written. While one is open and complete, what
     follows it is not parsed, whoever calls `data_received`: the parser keeps what it was given behind it, and
-    `unparsed` all that came later. `lingering` is set by `refuse_incomplete` and `answer_and_linger`: from
-    then on, what arrives is dropped.
+    `unparsed` all that came later. `lingering` is set by `refuse_incomplete`, `answer_and_linger` and
+    `drop_unread_bytes`: from then on, what arrives is dropped.
     """
 
     __slots__ = (
-        "lingering", "dropped_bytes", "accept_delay", "max_read", "head_size", "head_fields", "unparsed",
-        "unparsed_at", "parsed_at", "reads_late", "head_wait", "observer", "open_body", "disconnect_timer",
-        "body_held",
+        "lingering", "dropped_bytes", "max_dropped_bytes", "accept_delay", "max_read", "head_size",
+        "head_fields", "unparsed", "unparsed_at", "parsed_at", "reads_late", "head_wait", "observer",
+        "open_body", "disconnect_timer", "body_held",
     )  # fmt: skip
 
     def __init__(self, manager: Any, observer: ConnectionObserver, **options: Any) -> None:
@@ -74,7 +75,7 @@
             max_msg_queue_size=MAX_PARSED_REQUESTS,
         )  # fmt: skip
         self._max_msg_queue_size, self._msg_queue_resume_size = MAX_QUEUED_REQUESTS, 1
-        self.lingering, self.dropped_bytes = False, 0
+        self.lingering, self.dropped_bytes, self.max_dropped_bytes = False, 0, MAX_LINGER_BYTES
         self.max_read = HEAD_READ_SIZE
         self.head_size = self.head_fields = 0  # bytes and lines of the request that is being read
         self.unparsed = b""  # what has come behind the open request and behind what the parser keeps
@@ -107,7 +108,7 @@
         if not self.lingering:
             return False
         self.dropped_bytes += size
-        if self.dropped_bytes > MAX_LINGER_BYTES and self.transport is not None:
+        if self.dropped_bytes > self.max_dropped_bytes and self.transport is not None:
             self.transport.pause_reading()  # a flooding client would use up CPU
         return True
 
@@ -292,6 +293,21 @@
         self._drop_buffers()
         self._open_request(_ErrInfo(status=status, exc=error, message=message), EMPTY_PAYLOAD)
 
+    def drop_unread_bytes(self) -> bool:
+        """Drops what the client sent behind its open request and still sends.
+
+        The loop notices the end of the connection only behind these bytes. Returns False if reading goes on
+        anyway, so that none is missed, or if the rest of the open request is still to come.
+        """
+        transport = self.transport
+        if transport is None or self.lingering or not self.has_complete_request or transport.is_reading():
+            return False
+        self.lingering, self.max_dropped_bytes, self.max_read = True, MAX_UNREAD_BYTES, MAX_STREAM_READ
+        self._drop_buffers()
+        self._reading_paused = self._buffer_paused = False
+        transport.resume_reading()
+        return True
+
     def _drop_buffers(self) -> None:
         self._parser, self.unparsed = None, b""
 
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -422,6 +422,11 @@
         elif isinstance(connection, ClientConnection) and connection.open_body is None:
             connection.refuse_incomplete(429, "no memory for its head")
 
+    def drop_unread_bytes(self, client_id: int) -> bool:
+        """Drops what a client sent behind its open request; returns whether anything may be unread."""
+        connection = self.connections.get(client_id)
+        return isinstance(connection, ClientConnection) and connection.drop_unread_bytes()
+
     def stop_reading_bodies(self) -> None:
         """Stops reading bodies of requests that have not been reported yet; they are answered with 408."""
         for body in self.incomplete_bodies.values():
@@ -532,12 +537,18 @@
             response.headers["Content-Type"] = effect.content_type
         if effect.retry_after is not None:
             response.headers["Retry-After"] = f"{effect.retry_after.total_seconds():.3f}"
-        if effect.close_connection:
+        if effect.close_connection or self._is_rest_dropped(request):
             response.force_close()
         if not complete and not request.content.is_eof():
             await self._answer_and_discard_body(request, response, received.client_id)
         return await self._finish(request, response)
 
+    @staticmethod
+    def _is_rest_dropped(request: web.BaseRequest) -> bool:
+        """Whether later requests on the same connection have been dropped."""
+        connection = request.protocol
+        return isinstance(connection, ClientConnection) and connection.lingering
+
     @staticmethod
     def _prepare_for_answer(request: web.BaseRequest, complete: bool) -> None:
         """Reads little from now on, and looks for a disconnect where the loop would not notice it."""
@@ -589,7 +600,7 @@
             response.headers["Content-Type"] = effect.content_type
         if effect.length is not None:
             response.content_length = effect.length
-        if effect.close_connection:
+        if effect.close_connection or self._is_rest_dropped(request):
             response.force_close()
         complete = False
         try:
--- a/opalgauge/wire/recorder.py
+++ b/opalgauge/wire/recorder.py
@@ -47,6 +47,7 @@
     ),
     events.ClientConnected: _format("client {} connected", "client_id"),
     events.ClientDisconnected: _format("client {} gone", "client_id"),
+    events.NothingUnread: _format("client {}: nothing unread", "client_id"),
     events.RequestHeadStarted: _format("client {}: a request begins", "client_id"),
     events.RequestBodyStarted: _format("client {}: a body comes, {} bytes at most", "client_id", "memory"),
     events.RequestBodyBlocked: _format(
@@ -86,6 +87,7 @@
         "request {} answered {}: {}, last {}", "request_id", "status", "reason", "close_connection",
     ),
     effects.RefuseIncomplete: _format("client {} refused, no memory", "client_id"),
+    effects.DropUnreadBytes: _format("client {}: what it sent behind its request is dropped", "client_id"),
     effects.StreamAnswer: _format("connection {}: its late answer is passed on", "connection_id"),
     effects.CloseClient: _format("client {} closed: {}", "client_id", "reason"),
     effects.AbortClient: _format("client {} cut off", "client_id"),
--- a/opalgauge/wire/runtime.py
+++ b/opalgauge/wire/runtime.py
@@ -18,6 +18,7 @@
     ConnectionLost,
     ConnectionStale,
     Event,
+    NothingUnread,
     Progress,
     RequestBodyBlocked,
     RequestBodyEnded,
@@ -94,6 +95,7 @@
             effects.RefuseIncomplete: lambda e: (
                 self.clients.refuse_incomplete(e.client_id) if self.clients else None
             ),
+            effects.DropUnreadBytes: self._drop_unread_bytes,
             effects.StopReadingBodies: lambda _: self.clients.stop_reading_bodies() if self.clients else None,
             # Only workers delegate requests: replaced by `opalgauge.cores`.
             effects.DelegateRequest: lambda _: None,
@@ -214,6 +216,10 @@
         if connection := self.connections.pop(effect.connection_id, None):
             connection.close()
 
+    def _drop_unread_bytes(self, effect: effects.DropUnreadBytes) -> None:
+        if self.clients is None or not self.clients.drop_unread_bytes(effect.client_id):
+            self.loop.call_soon(self.report, NothingUnread(effect.client_id))
+
     def _cancel_body_task(self, connection_id: int) -> None:
         if self.body_tasks and (task := self.body_tasks.pop(connection_id, None)):
             task.cancel()
