Ask an agent whose watch fell silent for what it answers at once

Lists were pushed there; the agent had left open several questions, in a row, of the instance's running process.

Cause: the same class as at a start. A watch that has no answer in 1.3 s was followed by another watch, which is silent for 1 s by its nature, so each further silent question cost 1.3 s more.

Change: an agent whose watch is overdue counts as not heard, as one at a start does: it is asked for its whole list, again every 100 ms ten times, then every second, until it answers. Earlier connections stay open for their answers, as before. Where lists are asked for, nothing changes.

The two new tests failed before.

--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -1322,7 +1322,7 @@
 
     @property
     def _first_answer_wait(self) -> timedelta | None:
-        """The time for an answer of an agent that was never heard; None: it is asked as usual."""
+        """The time for an answer of an agent that is not heard; None: it is asked as usual."""
         return None if self.state.list_heard else self.config.list_first_answer_wait
 
     def _list_answer_wait(self) -> timedelta:
@@ -1334,7 +1334,7 @@
         return first_answer_wait if self._asks_first_list_quickly() else self.config.list_first_pause
 
     def _asks_first_list_quickly(self) -> bool:
-        """Whether the agent was never heard, and has not been asked often enough to be taken for down."""
+        """Whether the agent is not heard, and has not been asked often enough to be taken for down."""
         asked_often = self.state.unheard_list_requests > self.config.list_first_requests
         return self._first_answer_wait is not None and not asked_often
 
@@ -1359,6 +1359,9 @@
         if connection.id in state.connections:
             if len(self._list_connections()) > 1 and not self._asks_first_list_quickly():
                 self._log_list_unreachable("agent not answering; serving on with the list as last told")
+            if state.list_heard:
+                # It is asked for what it answers at once, so that its next silence shows sooner.
+                state.list_heard, state.unheard_list_requests = False, 0
             state.list_connection_id = 0
             self._open_list_connection()
 
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -65,11 +65,11 @@
     list_wait: timedelta = timedelta(seconds=1)
     # After `list_wait`, before the agent is asked over another connection as well.
     list_wait_slack: timedelta = timedelta(milliseconds=300)
-    # Before the agent is asked over another connection as well, as long as it has never been heard: a request
-    # for the whole list is answered at once. None: it is first asked as it is later.
+    # Before the agent is asked over another connection as well, while it is not heard: a request for the whole
+    # list is answered at once. None: it is always asked for changes.
     list_first_answer_wait: timedelta | None = None
     list_first_requests: int = 10  # so many requests follow each other after that time; the agent may be down
-    list_first_pause: timedelta = timedelta(seconds=1)  # between further ones, until it is heard
+    list_first_pause: timedelta = timedelta(seconds=1)  # between further ones, while it is not heard
     # For which a start waits until the agent is heard.
     list_ready_wait: timedelta = timedelta(milliseconds=500)
     # From an answer's first byte, before the same: the rest may never come.
@@ -250,9 +250,9 @@
     list_connection_id: int = 0  # the one over which the agent was asked last
     list_reachable: bool = True  # the discovery agent answers; a change is logged
     list_refusals: int = 0  # one after another
-    list_heard: bool = False  # the agent at this address has answered with a list
+    list_heard: bool = False  # the agent at this address has answered with a list, and not fallen silent
     list_settled: bool = False  # see effects.ServerListSettled
-    unheard_list_requests: int = 0  # since the start, or since the agent's address changed
+    unheard_list_requests: int = 0  # while the agent was not heard
     last_connection_id: int = 0
     process_count: int = 1  # of this ingress that are running
     draining: bool = False
--- a/tests/test_silent_agent_at_start.py
+++ b/tests/test_silent_agent_at_start.py
@@ -1,4 +1,4 @@
-"""A process starts while the discovery agent is silent for some questions: what it does until it is heard."""
+"""The discovery agent is silent for some questions: what a process does until it hears it."""
 
 from __future__ import annotations
 
@@ -23,16 +23,20 @@
 FIRST_WAIT, READY_WAIT = timedelta(milliseconds=100), timedelta(milliseconds=500)
 
 
-def server_list(draining: str, ready: str) -> bytes:
+def server_list(draining: str, ready: str, version: int = 42) -> bytes:
+    first_health = "terminating" if version == 42 else "in_service"
     hosts = [
         {"host": name, "dial": address, "site": "bat-a", "health": health, "born_ms": 0}
-        for name, address, health in (("s-1", draining, "terminating"), ("s-2", ready, "in_service"))
+        for name, address, health in (("s-1", draining, first_health), ("s-2", ready, "in_service"))
     ]
-    return ok_response(json.dumps({"seq": 42, "whole": True, "hosts": hosts}).encode())
+    return ok_response(json.dumps({"seq": version, "whole": True, "hosts": hosts}).encode())
 
 
-async def last_request_to_draining_server(silent_requests: int) -> float:
-    """Seconds from the start of a process to the last request at a server that drains since then."""
+async def last_request_to_draining_server(silent_requests: int, heard_before: bool = False) -> float:
+    """Seconds until the last request at a server that drains since the start of a process.
+
+    With `heard_before` it drains since the process opened its first watch, which stays silent.
+    """
     started, received_at = time.monotonic(), [0.0]
     numbers = itertools.count()
 
@@ -41,6 +45,11 @@
         return harness.OK
 
     def answer_list(request: bytes, _: asyncio.StreamWriter) -> bytes | None:
+        nonlocal started, heard_before
+        if heard_before:
+            if b"since=41&" not in request:
+                return server_list(draining, ready, version=41)
+            started, heard_before = time.monotonic(), False
         if next(asked) < silent_requests or b"since=42&" in request:
             return None
         return server_list(draining, ready)
@@ -76,6 +85,20 @@
     assert [seconds for seconds in times if seconds > STOP_SENDING_TIME] == [], times
 
 
+def test_a_draining_server_gets_nothing_late_if_the_agent_falls_silent_later() -> None:
+    """Guards against a silent watch that is followed by another one, which is waited for as long."""
+
+    async def scenario() -> list[float]:
+        plays = [
+            last_request_to_draining_server(silent, heard_before=True)
+            for silent in range(1, MAX_SILENT_REQUESTS + 1)
+        ]
+        return list(await asyncio.gather(*plays))
+
+    times = asyncio.run(scenario())
+    assert [seconds for seconds in times if seconds > STOP_SENDING_TIME] == [], times
+
+
 def starting_rig() -> ReducerRig:
     return ReducerRig(list_first_answer_wait=FIRST_WAIT, list_ready_wait=READY_WAIT)
 
@@ -113,6 +136,24 @@
     assert len(rig.list_requests()) == 6, "an agent that has been heard is asked as usual"
 
 
+def test_a_silent_watch_is_followed_by_requests_that_are_answered_at_once() -> None:
+    rig = starting_rig()
+    rig.open_list_connection()
+    answer(rig, rig.last_list_request().connection_id, version=3)
+    watch = rig.last_list_request()
+    rig.pass_time(rig.reducer.config.list_wait + rig.reducer.config.list_wait_slack)
+    rig.open_list_connection()
+    ask_in_steps(rig, 3)
+    after_watch = rig.list_requests()[rig.list_requests().index(watch) + 1 :]
+    assert [request.since_version for request in after_watch] == [None] * 4
+    rig.pass_time(FIRST_WAIT / 10)
+    answer(rig, rig.last_list_request().connection_id, version=4)
+    rig.pass_time(rig.reducer.config.list_min_pause)
+    assert rig.last_list_request().since_version == 4
+    ask_in_steps(rig, 9)
+    assert len(rig.list_requests()) == 7, "it is asked as usual again"
+
+
 def test_a_late_first_answer_is_taken_over() -> None:
     rig = starting_rig()
     rig.open_list_connection()
