Watch an agent again after its watch fell silent, also if it answers late

What callers would have seen: nothing but load. After an agent that needs more than 100 ms for its answers was asked for its whole list ten times a second for good once a watch had fallen silent.

Cause: an answer that comes over an earlier connection counts as heard. The request that was asked last is then overdue after its 100 ms, and that was taken for another silent watch. Seen in a trace of the soak whose stand-ins were made slow by the tracing.

Change: only a request that was open for longer than a watch lasts counts as a silent watch. Another overdue one is followed by a watch, as before.

--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -1359,7 +1359,8 @@
         if connection.id in state.connections:
             if len(self._list_connections()) > 1 and not self._asks_first_list_quickly():
                 self._log_list_unreachable("agent not answering; serving on with the list as last told")
-            if state.list_heard:
+            watch_fell_silent = self.now - asked_at > self.config.list_wait
+            if state.list_heard and watch_fell_silent:
                 # It is asked for what it answers at once, so that its next silence shows sooner.
                 state.list_heard, state.unheard_list_requests = False, 0
             state.list_connection_id = 0
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -65,8 +65,8 @@
     list_wait: timedelta = timedelta(seconds=1)
     # After `list_wait`, before the agent is asked over another connection as well.
     list_wait_slack: timedelta = timedelta(milliseconds=300)
-    # Before the agent is asked over another connection as well, while it is not heard: a request for the whole
-    # list is answered at once. None: it is always asked for changes.
+    # Before the agent is asked over another connection as well, while it is not heard: a request for its
+    # whole list is answered at once. None: it is always asked for changes.
     list_first_answer_wait: timedelta | None = None
     list_first_requests: int = 10  # so many requests follow each other after that time; the agent may be down
     list_first_pause: timedelta = timedelta(seconds=1)  # between further ones, while it is not heard
--- a/tests/test_silent_agent_at_start.py
+++ b/tests/test_silent_agent_at_start.py
@@ -139,6 +139,7 @@
 def test_a_silent_watch_is_followed_by_requests_that_are_answered_at_once() -> None:
     rig = starting_rig()
     rig.open_list_connection()
+    rig.pass_time(FIRST_WAIT / 10)
     answer(rig, rig.last_list_request().connection_id, version=3)
     watch = rig.last_list_request()
     rig.pass_time(rig.reducer.config.list_wait + rig.reducer.config.list_wait_slack)
@@ -154,6 +155,27 @@
     assert len(rig.list_requests()) == 7, "it is asked as usual again"
 
 
+def test_a_slow_agent_is_watched_again_after_a_silent_watch() -> None:
+    """Guards against an agent that is asked for its whole list again and again as it answers late."""
+    rig = starting_rig()
+    rig.open_list_connection()
+    rig.pass_time(FIRST_WAIT / 10)
+    answer(rig, rig.last_list_request().connection_id, version=3)
+    rig.pass_time(rig.reducer.config.list_wait + rig.reducer.config.list_wait_slack)
+    rig.open_list_connection()
+    before = len(rig.list_requests())
+    for version in range(4, 12):
+        slow_request = rig.last_list_request()
+        ask_in_steps(rig, 2)
+        rig.pass_time(FIRST_WAIT / 2)
+        answer(rig, slow_request.connection_id, version)
+        rig.open_list_connection()
+        if rig.last_list_request().since_version is not None:
+            break
+    assert rig.last_list_request().since_version is not None, "it is watched again"
+    assert len(rig.list_requests()) - before <= 4
+
+
 def test_a_late_first_answer_is_taken_over() -> None:
     rig = starting_rig()
     rig.open_list_connection()
