Count what is read after a pause from the pause, not from its last byte

Requests behind each other on one connection.

Cause: bytes that wait in the kernel while reading is paused are read together, and the kernel tells the age of the last of them only. A request whose client wrote another one shortly before the read counted as just come.

Change: what is read after a pause, as long as the kernel holds unread bytes, counts from the pause. A request that came later in it gets less time than it could have, never more.

--- a/opalgauge/wire/client_connection.py
+++ b/opalgauge/wire/client_connection.py
@@ -15,7 +15,7 @@
 
 from opalgauge.memory.buffers import HEAD_READ_SIZE, KIB, MAX_STREAM_READ, READER_LIMIT, head_memory
 from opalgauge.wire.read_limiter import LimitedProtocol
-from opalgauge.wire.socket_state import data_age, is_closed_by_peer, unsent_bytes
+from opalgauge.wire.socket_state import data_age, is_closed_by_peer, peek_byte, unsent_bytes
 
 MAX_REQUEST_HEAD = 32 * KIB  # bytes
 MAX_HEAD_FIELDS = 128
@@ -60,8 +60,8 @@
 
     __slots__ = (
         "lingering", "dropped_bytes", "max_dropped_bytes", "accept_delay", "max_read", "head_size",
-        "head_fields", "unparsed", "unparsed_at", "parsed_at", "reads_late", "head_wait", "observer",
-        "open_body", "disconnect_timer", "body_held",
+        "head_fields", "unparsed", "unparsed_at", "parsed_at", "paused_at", "reads_late", "head_wait",
+        "observer", "open_body", "disconnect_timer", "body_held",
     )  # fmt: skip
 
     def __init__(self, manager: Any, observer: ConnectionObserver, **options: Any) -> None:
@@ -82,6 +82,7 @@
         # Loop times at which the last bytes of `unparsed`, and of what the parser was given, arrived.
         self.unparsed_at = self.parsed_at = 0.0
         self.head_wait = 0.0  # s for which the open request's first bytes waited until they were parsed
+        self.paused_at = 0.0  # loop time at which reading was paused last
         self.reads_late = False  # what is read may have waited in the kernel while reading was paused
         self.body_held = False  # the rest of a request's body is not read until `release_reading`
         self.open_body: StreamReader | None = None  # the body of the open request; None: no request is open
@@ -129,15 +130,23 @@
             self._report_partial_head(received)
 
     def _take_read_delay(self) -> float:
-        """How long the last bytes that came have waited in the kernel at least (s)."""
+        """How long the bytes that have just been read may have waited in the kernel (s).
+
+        The kernel tells the age of the last of them only, so the first are taken to be as old as the pause.
+        """
         if not self.reads_late or self.transport is None:
             return 0.0
-        delay = data_age(self.transport)
-        self.reads_late = delay > 0
+        delay = max(data_age(self.transport), self._loop.time() - self.paused_at)
+        self.reads_late = bool(peek_byte(self.transport))
         return delay
 
+    def _pause_reading_for_buffer(self) -> None:
+        if not self._buffer_paused:
+            self.paused_at = self._loop.time()
+        super()._pause_reading_for_buffer()
+
     def _resume_reading_for_buffer(self) -> None:
-        self.reads_late = True
+        self.reads_late = self.transport is not None and bool(peek_byte(self.transport))
         super()._resume_reading_for_buffer()
 
     def _parse_next(self) -> None:
--- a/tests/test_pipelined_requests.py
+++ b/tests/test_pipelined_requests.py
@@ -106,6 +106,33 @@
         assert time_left <= told[0] - position * ANSWER_DELAY + TIMER_SLACK, told
 
 
+async def write_one_by_one(write_at: list[float]) -> list[str]:
+    """The times that a server was told of requests that were written at these times (s)."""
+    exchanges = Exchanges()
+    async with (
+        checked_ingress(exchanges, answer_delay=ANSWER_DELAY) as ingress,
+        PipeliningClient.connect(exchanges, ingress.address, "one-by-one") as client,
+    ):
+        started = asyncio.get_running_loop().time()
+        ids = []
+        for number, at in enumerate(write_at):
+            await asyncio.sleep(started + at - asyncio.get_running_loop().time())
+            message_ids, data = client.encode([replace(post(50, number=number), time_left="2.9")])
+            client.writer.write(data)
+            ids += message_ids
+        await client.read_answers(ids)
+    assert not exchanges.faults
+    return exchanges.times_left
+
+
+def test_time_in_the_kernel_is_deducted_though_more_has_come_since() -> None:
+    """Guards against an age of unread bytes that is the age of the last of them."""
+    write_at = [0.0, 0.02, 0.04, ANSWER_DELAY - 0.1]  # the last two are read at once
+    told = [float(time_left) for time_left in asyncio.run(write_one_by_one(write_at))]
+    for position, (time_left, at) in enumerate(zip(told, write_at, strict=False)):
+        assert time_left <= told[0] - position * ANSWER_DELAY + at + TIMER_SLACK, told
+
+
 def test_drawn_pipelined_requests_keep_their_bytes_and_answers() -> None:
     exchanges = asyncio.run(exchange_drawn_batches(SEED))
     assert not exchanges.faults
