--- a/tests/test_silent_agent_at_start.py
+++ b/tests/test_silent_agent_at_start.py
@@ -6,6 +6,9 @@
 import contextlib
 import itertools
 import json
+import math
+import socket
+import tempfile
 import time
 from datetime import timedelta
 
@@ -99,6 +102,59 @@
     assert [seconds for seconds in times if seconds > STOP_SENDING_TIME] == [], times
 
 
+async def last_request_after_news_to_the_other_process() -> float:
+    """Seconds from the news of a drain to an ingress's old process until its last request at that server.
+
+    A new process starts meanwhile, to which the agent is silent.
+    """
+    told_at, received_at, is_silent = math.inf, [0.0], False
+    numbers, watches = itertools.count(), list[asyncio.StreamWriter]()
+
+    def serve_while_draining(_: bytes, __: asyncio.StreamWriter) -> bytes:
+        received_at.append(time.monotonic() - told_at)
+        return harness.OK
+
+    def answer_list(request: bytes, writer: asyncio.StreamWriter) -> bytes | None:
+        nonlocal told_at
+        if is_silent:
+            if told_at == math.inf:
+                watches[-1].write(server_list(draining, ready))
+                told_at = time.monotonic()
+            return None
+        if b"since=" not in request:
+            return server_list(draining, ready, version=41)
+        watches.append(writer)
+        return None
+
+    with socket.socket() as listener, tempfile.TemporaryDirectory() as folder:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(64)
+        async with (
+            harness.stand_in(serve_while_draining) as (draining, _),
+            harness.stand_in(lambda _, __: harness.OK) as (ready, __),
+            harness.stand_in(harness.counter()) as (counter, ___),
+            harness.stand_in(answer_list) as (agent, ____),
+            harness.ready_ingress(draining, counter, agent, listener, folder),
+        ):
+            while not watches:
+                await asyncio.sleep(0.01)
+            is_silent = True
+            async with harness.ready_ingress(draining, counter, agent, listener, folder) as new:
+                while time.monotonic() < told_at + 2 * STOP_SENDING_TIME:
+                    with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                        await new.exchange(
+                            harness.request("GET", "/stock-check", correlation_id=f"r-{next(numbers)}")
+                        )
+                    await asyncio.sleep(0.02)
+    return received_at[-1]
+
+
+def test_a_new_process_learns_of_a_drain_that_only_the_old_one_was_told_of() -> None:
+    """Guards against an ingress of which one process knows what the other does not."""
+    seconds = asyncio.run(asyncio.wait_for(last_request_after_news_to_the_other_process(), 60))
+    assert seconds <= STOP_SENDING_TIME
+
+
 def starting_rig() -> ReducerRig:
     return ReducerRig(list_first_answer_wait=FIRST_WAIT, list_ready_wait=READY_WAIT)
 
