--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -11,6 +11,7 @@
 import os
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -214,6 +215,8 @@
         self.hosts: dict[str, dict[str, Any]] = {}
         self.changed_at: dict[str, int] = {}
         self.news = asyncio.Event()
+        self.up = asyncio.Event()  # cleared while discovery is down: the agent is silent
+        self.up.set()
 
     def put(
         self, host: str, dial: str, health: str = "in_service", born_ms: int = 0, site: str = "bat-a"
@@ -236,6 +239,7 @@
             head, _ = await read_message(reader)
             _, _, query = head.split(b" ")[1].decode().partition("?")
             fields = dict(part.split("=") for part in query.split("&") if part)
+            await self.up.wait()
             if "since" not in fields:
                 answer = self.listing()
             else:
@@ -245,6 +249,7 @@
                         await asyncio.wait_for(self.news.wait(), left)
                 changed = [self.hosts[host] for host, version in self.changed_at.items() if version > since]
                 answer = {"seq": self.version, "whole": False, "hosts": changed}
+            await self.up.wait()
             writer.write(ok(json.dumps(answer).encode()))
 
 
@@ -364,6 +369,26 @@
             await self.process.wait()
 
 
+async def call_console(ingress: Ingress, line: bytes) -> bytes:
+    """A call at the door for operators: one line, one line back."""
+    host, _, port = ingress.config["console"].rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(line)
+        return await asyncio.wait_for(reader.readline(), 1)
+    finally:
+        writer.close()
+
+
+def clients_listener() -> socket.socket:
+    """The clients' listening socket, which the platform holds and every process inherits."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(512)
+    listener.set_inheritable(True)
+    return listener
+
+
 class CannotRun(Exception):
     """The case cannot be played."""
 
@@ -396,6 +421,34 @@
         self.ingresses.append(started)
         return started
 
+    async def process(
+        self, listener: socket.socket, agent: Agent, counter: Counter, tree: dict[str, Any], **changes: Any
+    ) -> Ingress:
+        """Starts a process of the ingress n0 on days with upgrades; returns at its yes.
+
+        The socket of the clients is inherited, and $TMPDIR is the same for all processes.
+        """
+        host, port = listener.getsockname()
+        console = f"127.0.0.1:{free_port()}"
+        ingress = self.ingress(
+            "n0", agent, counter, tree, listen=f"{host}:{port}", console=console, **changes
+        )
+        ingress.address = (host, port)
+        ingress.environ = {
+            "TMPDIR": str(self.folder / "tmp"),
+            "BALANCER_LISTEN_FD": str(listener.fileno()),
+            "BALANCER_CONSOLE": console,
+        }
+        ingress.pass_fds = (listener.fileno(),)
+        await ingress.start(wait=False)
+        for _ in range(600):
+            with contextlib.suppress(OSError, TimeoutError):
+                if (await call_console(ingress, b"status\n")).startswith(b"200"):
+                    self.record(f"platform: process {len(self.ingresses)} says yes")
+                    return ingress
+            await asyncio.sleep(0.02)
+        raise CannotRun("a process has not said yes")
+
     async def close(self) -> None:
         for ingress in self.ingresses:
             await ingress.end()
@@ -406,8 +459,6 @@
 
 
 def free_port() -> int:
-    import socket
-
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
         return int(sock.getsockname()[1])
