Review: a new process sends to a backend that the old one knows to drain

Change: the case review/9, from an entry, in place of requests dropped at a restart. Nothing is fixed.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,7 +1,6 @@
-"""At a planned restart, requests that the ingress has taken on an open connection are dropped unanswered.
+"""A new process sends work to a backend of which the old process of the same ingress was told that it drains.
 
-A client writes three orders at once on one connection. The ingress is told to end while the first is at its
-backend; its answer closes the connection, and the two others are read and dropped.
+Discovery goes down just after the old process was told; the new one serves on the list of its configuration.
 """
 
 from __future__ import annotations
@@ -16,59 +15,78 @@
 
 import rig
 
-CLIENTS, AT_ONCE = 4, 3
-WORK = 0.4  # s
-TIME = 3.0  # s that a client waits, and the longest deadline
+OUTAGE = 8.0  # s for which discovery is down
+GRACE = 2.0  # s: `stop_sending_within`
+BINDS_AFTER_YES = 2.0  # s after the yes of a new process
+SLACK = 0.05  # s by which every limit is longer on sockets
+MARGIN = 0.15  # s for a busy machine
 KILL_AFTER = 3.0 + 0.7  # s from SIGTERM to SIGKILL
+CLIENTS = 8
 
 
 async def scenario(scene: rig.Scene, trouble: bool) -> int:
     record = scene.record
     counter, agent = await scene.add(rig.Counter()), await scene.add(rig.Agent())
+    backends: dict[str, rig.Backend] = {}
     for number in range(4):
-        backend = await scene.add(rig.Backend(f"s-{number}", record, work=WORK))
+        backend = await scene.add(rig.Backend(f"s-{number}", record))
         agent.put(backend.name, backend.address)
-    ingress = scene.ingress("n0", agent, counter, rig.settings())
-    await ingress.start()
-    lost: list[str] = []
+        backends[backend.name] = backend
+    drained = backends["s-1"]
+    tree = rig.settings(tiers_of_service=[dict(rig.settings()["tiers_of_service"][3], quota_rate=100.0)])
+    listener = rig.clients_listener()
+    known = agent.listing()  # what the platform tells every process: the list as of the start
+    old = await scene.process(listener, agent, counter, tree, known=known)
 
     async def client(number: int) -> None:
-        reader, writer = await asyncio.open_connection(*ingress.address)
-        first = f"order-{number}-0"
-        # A request before, so that none of the others is the first on its connection.
-        writer.write(rig.request_bytes("POST", "/place-order", first, time_left=TIME, customer=100 + number))
-        head, _ = await asyncio.wait_for(rig.read_message(reader), 5)
-        record(f"client: {first}: {rig.status_of(head)}")
-        ids = [f"order-{number}-{k}" for k in range(1, AT_ONCE + 1)]
-        writer.write(
-            b"".join(
-                rig.request_bytes("POST", "/place-order", i, time_left=TIME, customer=100 + number)
-                for i in ids
-            )
-        )
-        record(f"client: sends {', '.join(ids)} at once")
-        for request_id in ids:
-            try:
-                head, _ = await asyncio.wait_for(rig.read_message(reader), TIME + 1)
-                record(f"client: {request_id}: {rig.status_of(head)}")
-            except (TimeoutError, asyncio.IncompleteReadError, ConnectionError) as error:
-                lost.append(request_id)
-                record(f"BROKEN: {request_id}: no answer, the ingress has ended the connection ({error!r})")
-        writer.close()
+        asked = 0
+        while True:
+            with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+                reader, writer = await asyncio.open_connection(*listener.getsockname())
+                asked += 1
+                writer.write(
+                    rig.request_bytes(
+                        "GET", "/stock-check", f"check-{number}-{asked}", time_left=1.2, customer=number + 1
+                    )
+                )
+                await asyncio.wait_for(rig.read_message(reader), 2)
+                writer.close()
+            await asyncio.sleep(0.2)
 
     clients = [asyncio.create_task(client(number)) for number in range(CLIENTS)]
-    await asyncio.sleep(WORK + 0.2)  # the first answers are there, the next orders are at their backends
+    await asyncio.sleep(2)
+    agent.put(drained.name, drained.address, health="terminating")
+    told_at = record.now()
+    record("agent: tells that s-1 drains")
+    await asyncio.sleep(0.1)  # the old process has its answer
     if trouble:
-        ingress.signal(signal.SIGTERM)
-        killed_at = record.now() + KILL_AFTER
-    await asyncio.gather(*clients)
-    if trouble and ingress.process is not None:
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(ingress.process.wait(), max(0.0, killed_at - record.now()))
-        if ingress.process.returncode is None:
-            ingress.signal(signal.SIGKILL)
-    record(f"{CLIENTS * AT_ONCE} orders, {len(lost)} of them lost")
-    return rig.BROKEN if lost else rig.HELD
+        agent.up.clear()
+        record(f"agent: discovery is down, for {OUTAGE} s")
+    outage = asyncio.get_running_loop().call_later(OUTAGE, agent.up.set)
+    await scene.process(listener, agent, counter, tree, known=known)
+    yes_at = record.now()
+    old.signal(signal.SIGTERM)
+    with contextlib.suppress(TimeoutError):
+        assert old.process is not None
+        await asyncio.wait_for(old.process.wait(), KILL_AFTER)
+    if old.process.returncode is None:
+        old.signal(signal.SIGKILL)
+    await asyncio.sleep(max(0.0, told_at + OUTAGE + 2 - record.now()))
+    outage.cancel()
+    for task in clients:
+        task.cancel()
+    await asyncio.gather(*clients, return_exceptions=True)
+    listener.close()
+    latest = max(told_at, yes_at + BINDS_AFTER_YES) + GRACE + SLACK
+    late = [arrival for arrival in drained.arrivals if arrival.at > latest + MARGIN]
+    for arrival in late:
+        record(f"BROKEN: {arrival.request_id} came to s-1 {arrival.at - told_at:.3f} s after the news")
+    total = sum(len(backend.arrivals) for backend in backends.values())
+    record(
+        f"{total} requests, {len(late)} of them at s-1 later than {latest - told_at:.3f} s after the news; "
+        f"the last there {drained.arrivals[-1].at - told_at:.3f} s after"
+    )
+    return rig.BROKEN if late else rig.HELD
 
 
 rig.play(__file__, scenario)
