--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,11 +1,13 @@
-"""A keyed order whose connection was reset is repeated in another hall, and runs a second time.
+"""A copied id of an open order runs a second time at the other process of an upgrade.
 
-Backends of one hall share what keys they have seen for 3 s; those of another hall know nothing of them.
+The old process holds the orders; a bad client sends their ids again, and its connections come to the new one.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import signal
 import sys
 from pathlib import Path
 
@@ -13,91 +15,98 @@
 
 import rig
 
-# Nine backends; two of the halls are not among the three that the settings name.
-BACKENDS = {"hall-a": 1, "hall-b": 1, "hall-c": 1, "hall-d": 3, "hall-e": 3}
-HALLS = {f"{hall}-{n}": hall for hall, count in BACKENDS.items() for n in range(count)}
-KEY_MEMORY = 3.0  # s for which the backends of one hall drop a repeat of a key
-ORDERS, RESET_EVERY = 150, 4
-WORK = 0.15  # s
-
-
-def akl_settings() -> dict[str, object]:
-    """Settings with the figures of `akl-main`: three halls, a keyed kind whose group is the hall."""
-    tree = rig.settings(balancers=3)
-    tree["zones"] = ["hall-a", "hall-b", "hall-c"]
-    tree["classes"][0] |= {"name": "view-sub", "aim": 1.2, "deadline": 5.0, "credit": 1.0}
-    tree["classes"][1] |= {
-        "name": "place-order", "aim": 1.2, "deadline": 5.0, "effect": "dedup", "group": "zone",
-        "window": KEY_MEMORY,
-    }  # fmt: skip
-    tree["classes"].append(dict(tree["classes"][0], name="add-item", aim=2.0, deadline=6.0, effect="fragile"))
-    tree["ceilings"] |= {"try_limit": 5, "parallel_tries": True, "probes": False, "conn_idle": 30.0}
-    tree["invariants"] |= {"stop_sending_within": 1.0, "cold_from": 0.21, "fall": 3.0, "fall_multiple": 4.0}
-    tree["load_info"] = {"fields": [], "how": "none"}
-    return tree
+CLIENTS = 6
+WORK = 1.0  # s, of an order
+TIME = 3.0  # s that a client waits, and the longest deadline
+KILL_AFTER = 3.0 + 0.7  # s from SIGTERM to SIGKILL
+
+
+def order(request_id: str, customer: int) -> bytes:
+    return rig.request_bytes("POST", "/place-order", request_id, time_left=TIME, customer=customer)
 
 
 async def scenario(scene: rig.Scene, trouble: bool) -> int:
     record = scene.record
     counter, agent = await scene.add(rig.Counter()), await scene.add(rig.Agent())
-    seen: dict[tuple[str, str], float] = {}  # when a hall saw a key first
-    runs: dict[str, list[str]] = {}  # by key: the halls in which it has run
-    to_reset: set[str] = set()  # orders whose first attempt is reset once it has begun
+    backends: list[rig.Backend] = []
 
     async def behave(
         backend: rig.Backend, arrival: rig.Arrival, _: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        hall, key = HALLS[backend.name], rig.header_fields(arrival.head)["idempotency-key"]
-        if arrival.at - seen.get((hall, key), -KEY_MEMORY) >= KEY_MEMORY:
-            seen[hall, key] = arrival.at
-            runs.setdefault(key, []).append(hall)
-            record(f"backend {backend.name} in {hall}: runs order {key}")
-        else:
-            record(f"backend {backend.name} in {hall}: drops the repeat of order {key}")
-        await asyncio.sleep(WORK)
-        if key in to_reset:
-            to_reset.discard(key)
-            record(
-                f"backend {backend.name} in {hall}: the connection of order {key} is reset, which has begun"
-            )
-            writer.transport.abort()
-            return False
+        await asyncio.sleep(0.02 if arrival.request_id.startswith("first") else WORK)
+        record(f"backend {backend.name}: {arrival.request_id} has run")
         writer.write(rig.ok(rig.answer_body(arrival.request_id)))
         return True
 
-    for name, hall in HALLS.items():
-        backend = await scene.add(rig.Backend(name, record, behave=behave))
-        agent.put(name, backend.address, site=hall)
-    ingress = scene.ingress("n0", agent, counter, akl_settings())
-    await ingress.start()
-
-    async def order(number: int) -> None:
-        key = f"{number:032x}"
-        if trouble and number % RESET_EVERY == 0:
-            to_reset.add(key)
-        reader, writer = await asyncio.open_connection(*ingress.address)
-        record(f"client: sends order {key}")
-        writer.write(
-            rig.request_bytes(
-                "POST", "/place-order", f"{number:016x}", time_left=5.0, customer=number + 1, spread=3,
-                headers=f"Idempotency-Key: {key}\r\n",
-            )
-        )  # fmt: skip
-        head, _ = await asyncio.wait_for(rig.read_message(reader), 8)
-        record(f"client: order {key} is answered with {rig.status_of(head)}")
+    for number in range(6):
+        backend = await scene.add(rig.Backend(f"s-{number}", record, behave=behave))
+        agent.put(backend.name, backend.address)
+        backends.append(backend)
+    listener = rig.clients_listener()
+    old = await scene.process(listener, agent, counter, rig.settings())
+    may_send = asyncio.Event()
+
+    async def usual_client(number: int) -> None:
+        """Has a connection to the old process, and sends its order on it at the new one's yes."""
+        reader, writer = await asyncio.open_connection(*listener.getsockname())
+        writer.write(order(f"first-{number}", 100 + number))
+        head, _ = await asyncio.wait_for(rig.read_message(reader), 5)
+        record(f"client: first-{number}: {rig.status_of(head)}")
+        while not may_send.is_set():  # the connection is in use up to then
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(may_send.wait(), 0.3)
+                break
+            writer.write(order(f"first-{number}-{record.now():.3f}", 100 + number))
+            await asyncio.wait_for(rig.read_message(reader), 5)
+        record(f"client: sends order-{number}")
+        writer.write(order(f"order-{number}", 100 + number))
+        with contextlib.suppress(TimeoutError, asyncio.IncompleteReadError, ConnectionError):
+            head, _ = await asyncio.wait_for(rig.read_message(reader), TIME + 1)
+            record(f"client: order-{number}: {rig.status_of(head)}")
+        writer.close()
+
+    async def bad_client(number: int) -> None:
+        reader, writer = await asyncio.open_connection(*listener.getsockname())
+        record(f"bad client: sends order-{number}, which is open")
+        writer.write(order(f"order-{number}", 100 + number))
+        with contextlib.suppress(TimeoutError, asyncio.IncompleteReadError, ConnectionError):
+            head, _ = await asyncio.wait_for(rig.read_message(reader), TIME + 1)
+            record(f"bad client: order-{number}: {rig.status_of(head)}")
         writer.close()
 
-    orders = []
-    for number in range(ORDERS):
-        orders.append(asyncio.create_task(order(number)))
-        await asyncio.sleep(0.2)
-    await asyncio.gather(*orders)
-    if not runs:
-        raise rig.CannotRun("no order has run")
-    twice = {key: halls for key, halls in runs.items() if len(halls) > 1}
-    for key, halls in twice.items():
-        record(f"BROKEN: order {key} has run {len(halls)} times, in {', '.join(halls)}")
-    record(f"{len(runs)} orders have run, {len(twice)} of them more than once")
+    clients = [asyncio.create_task(usual_client(number)) for number in range(CLIENTS)]
+    await asyncio.sleep(1)
+    if trouble:
+        await scene.process(listener, agent, counter, rig.settings())
+    may_send.set()
+    open_orders: set[int] = set()
+    for _ in range(200):  # until the orders are at their backends
+        arrived = {a.request_id for backend in backends for a in backend.arrivals}
+        open_orders = {n for n in range(CLIENTS) if f"order-{n}" in arrived}
+        if len(open_orders) == CLIENTS:
+            break
+        await asyncio.sleep(0.005)
+    if not open_orders:
+        raise rig.CannotRun("no order has come to a backend")
+    if trouble:
+        old.signal(signal.SIGTERM)
+        killed_at = record.now() + KILL_AFTER
+        await asyncio.sleep(0.1)  # new connections come to the new process
+    await asyncio.gather(*(bad_client(number) for number in open_orders))
+    await asyncio.gather(*clients, return_exceptions=True)
+    if trouble and old.process is not None:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(old.process.wait(), max(0.0, killed_at - record.now()))
+        if old.process.returncode is None:
+            old.signal(signal.SIGKILL)
+    twice = []
+    for number in sorted(open_orders):
+        times = [a.at for backend in backends for a in backend.arrivals if a.request_id == f"order-{number}"]
+        if len(times) > 1:
+            twice.append(number)
+            record(f"BROKEN: order-{number} came to backends {len(times)} times, at {sorted(times)}")
+    record(f"{len(open_orders)} open orders were copied, {len(twice)} of them ran twice")
+    listener.close()
     return rig.BROKEN if twice else rig.HELD
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,6 @@
-"""A new process sends work to a backend of which the old process of the same ingress was told that it drains.
+"""During an upgrade the two processes of an ingress take more memory than the ingress may, and are killed.
 
-Discovery goes down just after the old process was told; the new one serves on the list of its configuration.
+Each of the two processes plans with the whole of `memory_mb`.
 """
 
 from __future__ import annotations
@@ -15,78 +15,111 @@
 
 import rig
 
-OUTAGE = 8.0  # s for which discovery is down
-GRACE = 2.0  # s: `stop_sending_within`
-BINDS_AFTER_YES = 2.0  # s after the yes of a new process
-SLACK = 0.05  # s by which every limit is longer on sockets
-MARGIN = 0.15  # s for a busy machine
-KILL_AFTER = 3.0 + 0.7  # s from SIGTERM to SIGKILL
-CLIENTS = 8
+MEMORY_MB = 96
+BAD_CLIENTS = 150  # a second
+STAY = 1.9  # s for which a bad client stays with its half request
+FIELDS, FIELD_SIZE = 126, 200
+USUAL_PERIOD = 0.05  # s between two usual requests
+
+
+def memory_of(processes: list[rig.Ingress]) -> float:
+    """MiB that the processes take: the anonymous memory of each, and mapped files once."""
+    anonymous, mapped = 0.0, 0.0
+    for ingress in processes:
+        assert ingress.process is not None
+        with contextlib.suppress(OSError, IndexError):
+            status = Path(f"/proc/{ingress.process.pid}/status").read_text()
+            fields = dict(line.split(":", 1) for line in status.splitlines())
+            if "RssAnon" in fields:
+                anonymous += int(fields["RssAnon"].split()[0]) / 1024
+                mapped = max(mapped, int(fields["RssFile"].split()[0]) / 1024)
+    return anonymous + mapped
 
 
 async def scenario(scene: rig.Scene, trouble: bool) -> int:
     record = scene.record
     counter, agent = await scene.add(rig.Counter()), await scene.add(rig.Agent())
-    backends: dict[str, rig.Backend] = {}
-    for number in range(4):
+    for number in range(3):
         backend = await scene.add(rig.Backend(f"s-{number}", record))
         agent.put(backend.name, backend.address)
-        backends[backend.name] = backend
-    drained = backends["s-1"]
-    tree = rig.settings(tiers_of_service=[dict(rig.settings()["tiers_of_service"][3], quota_rate=100.0)])
     listener = rig.clients_listener()
-    known = agent.listing()  # what the platform tells every process: the list as of the start
-    old = await scene.process(listener, agent, counter, tree, known=known)
+    processes: list[rig.Ingress] = []
+    peak, killed = 0.0, False
+
+    async def start() -> rig.Ingress:
+        limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024}
+        processes_before = len(scene.ingresses)
+        starting = asyncio.create_task(scene.process(listener, agent, counter, rig.settings(), limits=limits))
+        while len(scene.ingresses) == processes_before or scene.ingresses[-1].process is None:
+            await asyncio.sleep(0.001)
+        processes.append(scene.ingresses[-1])
+        return await starting
+
+    async def watch_memory() -> None:
+        nonlocal peak, killed
+        while True:
+            taken = memory_of(processes)
+            if taken > peak + 2:
+                record(f"platform: the ingress takes {taken:.0f} MB of {MEMORY_MB}")
+            peak = max(peak, taken)
+            if taken > MEMORY_MB and not killed:
+                killed = True
+                record(f"BROKEN: {taken:.0f} MB taken, {MEMORY_MB} allowed: the platform kills the ingress")
+                for ingress in processes:
+                    ingress.signal(signal.SIGKILL)
+            await asyncio.sleep(0.02)
+
+    half = b"POST /place-order HTTP/1.1\r\n" + b"".join(
+        b"X-Field-%d: %s\r\n" % (n, b"v" * FIELD_SIZE) for n in range(FIELDS)
+    )
+
+    async def bad_client() -> None:
+        """Half a request and a close."""
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            _, writer = await asyncio.open_connection(*listener.getsockname())
+            writer.write(half)
+            await asyncio.sleep(STAY)
+            writer.close()
+
+    outcomes: dict[str, int] = {}
 
-    async def client(number: int) -> None:
-        asked = 0
+    async def usual_client(number: int) -> None:
+        try:
+            reader, writer = await asyncio.open_connection(*listener.getsockname())
+            writer.write(
+                rig.request_bytes("GET", "/stock-check", f"{number:016x}", time_left=1.2, customer=number + 1)
+            )
+            head, _ = await asyncio.wait_for(rig.read_message(reader), 1.8)
+            outcome = str(rig.status_of(head))
+            writer.close()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            outcome = "no answer"
+        outcomes[outcome] = outcomes.get(outcome, 0) + 1
+        record(f"client: request {number:016x}: {outcome}")
+
+    async def come(client: object, period: float) -> None:
+        number = 0
         while True:
-            with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
-                reader, writer = await asyncio.open_connection(*listener.getsockname())
-                asked += 1
-                writer.write(
-                    rig.request_bytes(
-                        "GET", "/stock-check", f"check-{number}-{asked}", time_left=1.2, customer=number + 1
-                    )
-                )
-                await asyncio.wait_for(rig.read_message(reader), 2)
-                writer.close()
-            await asyncio.sleep(0.2)
-
-    clients = [asyncio.create_task(client(number)) for number in range(CLIENTS)]
-    await asyncio.sleep(2)
-    agent.put(drained.name, drained.address, health="terminating")
-    told_at = record.now()
-    record("agent: tells that s-1 drains")
-    await asyncio.sleep(0.1)  # the old process has its answer
-    if trouble:
-        agent.up.clear()
-        record(f"agent: discovery is down, for {OUTAGE} s")
-    outage = asyncio.get_running_loop().call_later(OUTAGE, agent.up.set)
-    await scene.process(listener, agent, counter, tree, known=known)
-    yes_at = record.now()
-    old.signal(signal.SIGTERM)
-    with contextlib.suppress(TimeoutError):
-        assert old.process is not None
-        await asyncio.wait_for(old.process.wait(), KILL_AFTER)
-    if old.process.returncode is None:
-        old.signal(signal.SIGKILL)
-    await asyncio.sleep(max(0.0, told_at + OUTAGE + 2 - record.now()))
-    outage.cancel()
-    for task in clients:
+            tasks.append(asyncio.create_task(client(number) if client is usual_client else bad_client()))  # type: ignore[operator]
+            number += 1
+            await asyncio.sleep(period)
+
+    tasks: list[asyncio.Task[None]] = []
+    old = await start()
+    tasks.append(asyncio.create_task(watch_memory()))
+    tasks.append(asyncio.create_task(come(usual_client, USUAL_PERIOD)))
+    tasks.append(asyncio.create_task(come(bad_client, 1 / BAD_CLIENTS)))
+    await asyncio.sleep(6)
+    if trouble and not killed:
+        await start()
+        old.signal(signal.SIGTERM)
+    await asyncio.sleep(6)
+    for task in tasks:
         task.cancel()
-    await asyncio.gather(*clients, return_exceptions=True)
+    await asyncio.gather(*tasks, return_exceptions=True)
     listener.close()
-    latest = max(told_at, yes_at + BINDS_AFTER_YES) + GRACE + SLACK
-    late = [arrival for arrival in drained.arrivals if arrival.at > latest + MARGIN]
-    for arrival in late:
-        record(f"BROKEN: {arrival.request_id} came to s-1 {arrival.at - told_at:.3f} s after the news")
-    total = sum(len(backend.arrivals) for backend in backends.values())
-    record(
-        f"{total} requests, {len(late)} of them at s-1 later than {latest - told_at:.3f} s after the news; "
-        f"the last there {drained.arrivals[-1].at - told_at:.3f} s after"
-    )
-    return rig.BROKEN if late else rig.HELD
+    record(f"peak {peak:.0f} MB; usual requests: {outcomes}")
+    return rig.BROKEN if killed else rig.HELD
 
 
 rig.play(__file__, scenario)
