Review: a copied id runs a second time while the order's long answer flows

Cause: the id of a request is free again as its streamed answer begins. Change: the case review/6. Nothing is fixed.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,13 +1,12 @@
-"""A copied id of an open order runs a second time at the other process of an upgrade.
+"""A copied id of an order whose long answer is still on its way runs a second time.
 
-The old process holds the orders; a bad client sends their ids again, and its connections come to the new one.
+The order has run, its answer is being passed on, and its client still reads. A bad client sends its id again.
 """
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import signal
 import sys
 from pathlib import Path
 
@@ -15,10 +14,10 @@
 
 import rig
 
-CLIENTS = 6
-WORK = 1.0  # s, of an order
-TIME = 3.0  # s that a client waits, and the longest deadline
-KILL_AFTER = 3.0 + 0.7  # s from SIGTERM to SIGKILL
+CLIENTS = 4
+SIZE, PIECE, PAUSE = 1_500_000, 25_000, 0.04  # bytes, bytes and s: an answer of 2.4 s
+COPY_AFTER = 0.4  # s after the first byte of the answer
+TIME = 3.0  # s that a client waits
 
 
 def order(request_id: str, customer: int) -> bytes:
@@ -29,84 +28,74 @@
     record = scene.record
     counter, agent = await scene.add(rig.Counter()), await scene.add(rig.Agent())
     backends: list[rig.Backend] = []
+    answered_at: dict[str, list[float]] = {}  # when backends had written their answers, or had to stop
 
     async def behave(
         backend: rig.Backend, arrival: rig.Arrival, _: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        await asyncio.sleep(0.02 if arrival.request_id.startswith("first") else WORK)
-        record(f"backend {backend.name}: {arrival.request_id} has run")
-        writer.write(rig.ok(rig.answer_body(arrival.request_id)))
+        try:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % SIZE)
+            for _start in range(0, SIZE, PIECE):
+                writer.write(b"x" * PIECE)
+                await writer.drain()
+                await asyncio.sleep(PAUSE)
+        finally:
+            answered_at.setdefault(arrival.request_id, []).append(record.now())
+            record(f"backend {backend.name}: the answer to {arrival.request_id} has ended")
         return True
 
-    for number in range(6):
+    for number in range(4):
         backend = await scene.add(rig.Backend(f"s-{number}", record, behave=behave))
         agent.put(backend.name, backend.address)
         backends.append(backend)
-    listener = rig.clients_listener()
-    old = await scene.process(listener, agent, counter, rig.settings())
-    may_send = asyncio.Event()
+    ingress = scene.ingress("n0", agent, counter, rig.settings())
+    await ingress.start()
+    copied: list[int] = []
 
-    async def usual_client(number: int) -> None:
-        """Has a connection to the old process, and sends its order on it at the new one's yes."""
-        reader, writer = await asyncio.open_connection(*listener.getsockname())
-        writer.write(order(f"first-{number}", 100 + number))
-        head, _ = await asyncio.wait_for(rig.read_message(reader), 5)
-        record(f"client: first-{number}: {rig.status_of(head)}")
-        while not may_send.is_set():  # the connection is in use up to then
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(may_send.wait(), 0.3)
-                break
-            writer.write(order(f"first-{number}-{record.now():.3f}", 100 + number))
-            await asyncio.wait_for(rig.read_message(reader), 5)
-        record(f"client: sends order-{number}")
+    async def bad_client(number: int) -> None:
+        reader, writer = await asyncio.open_connection(*ingress.address)
+        copied.append(number)
+        record(f"bad client: sends order-{number}, which is open")
         writer.write(order(f"order-{number}", 100 + number))
         with contextlib.suppress(TimeoutError, asyncio.IncompleteReadError, ConnectionError):
-            head, _ = await asyncio.wait_for(rig.read_message(reader), TIME + 1)
-            record(f"client: order-{number}: {rig.status_of(head)}")
+            head, body = await asyncio.wait_for(rig.read_message(reader), TIME + 3)
+            record(f"bad client: order-{number}: {rig.status_of(head)}, {len(body)} bytes")
         writer.close()
 
-    async def bad_client(number: int) -> None:
-        reader, writer = await asyncio.open_connection(*listener.getsockname())
-        record(f"bad client: sends order-{number}, which is open")
+    async def usual_client(number: int) -> None:
+        reader, writer = await asyncio.open_connection(*ingress.address)
+        record(f"client: sends order-{number}")
         writer.write(order(f"order-{number}", 100 + number))
-        with contextlib.suppress(TimeoutError, asyncio.IncompleteReadError, ConnectionError):
-            head, _ = await asyncio.wait_for(rig.read_message(reader), TIME + 1)
-            record(f"bad client: order-{number}: {rig.status_of(head)}")
+        head = await asyncio.wait_for(reader.readuntil(rig.HEAD_END), TIME + 1)
+        record(f"client: order-{number}: {rig.status_of(head)} begins")
+        copy = None
+        if trouble and rig.status_of(head) == 200:
+            copy = asyncio.get_running_loop().call_later(
+                COPY_AFTER, lambda: bad.append(asyncio.create_task(bad_client(number)))
+            )
+        body = await reader.readexactly(int(rig.header_fields(head)["content-length"]))
+        record(f"client: order-{number}: {len(body)} bytes, whole")
+        if copy is not None:
+            copy.cancel()
         writer.close()
 
-    clients = [asyncio.create_task(usual_client(number)) for number in range(CLIENTS)]
-    await asyncio.sleep(1)
-    if trouble:
-        await scene.process(listener, agent, counter, rig.settings())
-    may_send.set()
-    open_orders: set[int] = set()
-    for _ in range(200):  # until the orders are at their backends
-        arrived = {a.request_id for backend in backends for a in backend.arrivals}
-        open_orders = {n for n in range(CLIENTS) if f"order-{n}" in arrived}
-        if len(open_orders) == CLIENTS:
-            break
-        await asyncio.sleep(0.005)
-    if not open_orders:
-        raise rig.CannotRun("no order has come to a backend")
-    if trouble:
-        old.signal(signal.SIGTERM)
-        killed_at = record.now() + KILL_AFTER
-        await asyncio.sleep(0.1)  # new connections come to the new process
-    await asyncio.gather(*(bad_client(number) for number in open_orders))
-    await asyncio.gather(*clients, return_exceptions=True)
-    if trouble and old.process is not None:
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(old.process.wait(), max(0.0, killed_at - record.now()))
-        if old.process.returncode is None:
-            old.signal(signal.SIGKILL)
+    bad: list[asyncio.Task[None]] = []
+    await asyncio.gather(*(usual_client(number) for number in range(CLIENTS)))
+    await asyncio.gather(*bad)
+    if trouble and not copied:
+        raise rig.CannotRun("no long answer was open")
     twice = []
-    for number in sorted(open_orders):
-        times = [a.at for backend in backends for a in backend.arrivals if a.request_id == f"order-{number}"]
+    for number in range(CLIENTS):
+        request_id = f"order-{number}"
+        times = sorted(a.at for backend in backends for a in backend.arrivals if a.request_id == request_id)
         if len(times) > 1:
-            twice.append(number)
-            record(f"BROKEN: order-{number} came to backends {len(times)} times, at {sorted(times)}")
-    record(f"{len(open_orders)} open orders were copied, {len(twice)} of them ran twice")
-    listener.close()
+            twice.append(request_id)
+            first_ended = min(answered_at[request_id])
+            record(
+                f"BROKEN: {request_id} came to backends {len(times)} times, at {times}; "
+                f"the first attempt was out until {first_ended:.3f}"
+            )
+    record(f"{len(copied)} open orders were copied, {len(twice)} of them ran twice")
     return rig.BROKEN if twice else rig.HELD
 
 
