Keep a request's id until its long answer has ended, not until it has begun

Cause: an id was kept within the request, which leaves the state as its answer begins; the stream that goes on knew no id. Also, an attempt that is not called off (ceilings.cancelling false) went on beyond its request, whose id was free.

Change: ids are kept by request in memory/request_ids.py. One place gives an id back: the request has its final answer, and neither an attempt nor a stream is open. A stream that breaks off on either side has its order's id remembered as abandoned, so a copy gets 502.

--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -55,7 +55,6 @@
 MAX_UNREAD_BODY = 10 * MIB  # bytes that the kernels of both sides hold of a body at most
 MIN_BLOCKED_TIME = timedelta(milliseconds=50)  # for which a server may pause whatever time is left
 MIN_ANSWER_PARTS = 2  # after which a server is taken to be writing an answer
-MAX_ABANDONED_IDS = 1000  # that are remembered
 MAX_DEPARTURE_WAIT = timedelta(milliseconds=200)  # to learn whether a client with an open request has left
 BANS_KEY = "bans"  # of the bans in what one process hands over to the next
 MICROSECOND = timedelta(microseconds=1)
@@ -171,10 +170,7 @@
 
     def _finish(self) -> list[effects.Effect]:
         """Ends a step: lets the gateway decide, exits if a drain is done, and sets the wake-up."""
-        while self.gateway_events:
-            gateway_events, self.gateway_events = self.gateway_events, []
-            for action in self.gateway.handle(self.now.timestamp(), gateway_events):
-                self.action_handlers[type(action)](action)
+        self._let_gateway_decide()
         state = self.state
         being_read = state.clients_sending_head or state.clients_sending_body or state.clients_reading
         kept_clients = state.clients_new or state.clients_idle or state.clients_waiting
@@ -198,6 +194,13 @@
         step_effects, self.effects = self.effects, []
         return step_effects
 
+    def _let_gateway_decide(self) -> None:
+        """Passes on the events that the gateway has not seen, and carries out its actions."""
+        while self.gateway_events:
+            gateway_events, self.gateway_events = self.gateway_events, []
+            for action in self.gateway.handle(self.now.timestamp(), gateway_events):
+                self.action_handlers[type(action)](action)
+
     # --- time ----------------------------------------------------------------------------------------------
     def _schedule(self, when: datetime, callback: Callable[..., None], *args: Any) -> Timer:
         """Calls `callback` in the first step at or after `when`, unless the timer is cancelled."""
@@ -298,8 +301,8 @@
             state.statistics.refused[event.class_index] += 1
             self._reject(event.request_id, event.client_id, 429, Reason.TOO_MANY, retry_after)
             return None
-        if http_request.correlation_id in state.open_correlation_ids:
-            # Another open request has this ID: the answers to the two could not be told apart.
+        if state.open_correlation_ids.holder(http_request.correlation_id) is not None:
+            # Another request is out under this ID: both would run, and their answers be mixed up.
             if worker is not None or not self._hold_duplicate(event, memory):
                 self._reject(event.request_id, event.client_id, 400, Reason.ID_IN_USE)
             return None
@@ -319,7 +322,7 @@
                     event.request_id, event.client_id, 429, Reason.STOPPING, self._short_retry_after()
                 )
                 return None
-        state.open_correlation_ids[event.http_request.correlation_id] = event.request_id
+        state.open_correlation_ids.add(http_request.correlation_id, event.request_id)
         answer_by = self._fallback_time(time_left)
         budget = max(time_left - config.gateway_margin, time_left / 4)
         has_more_body = event.http_request.has_more_body
@@ -361,7 +364,7 @@
         state = self.state
         request = state.requests.pop(request_id, None)
         if request is not None:
-            del state.open_correlation_ids[request.http_request.correlation_id]
+            self._release_id(request_id)
             state.memory_in_use -= request.memory
             self.timers.cancel(request.overdue_timer)
         return request
@@ -370,9 +373,19 @@
         """Takes a streamed answer out of the state."""
         stream = self.state.streams.pop(request_id, None)
         if stream is not None:
+            self._release_id(request_id)
             self.state.memory_in_use -= stream.memory
         return stream
 
+    def _release_id(self, request_id: int) -> None:
+        """Frees the id of a request that has its final answer, and no attempt or stream open."""
+        state = self.state
+        if request_id in state.requests or request_id in state.streams:
+            return
+        numbers = range(self.config.settings.max_attempts)
+        if not any((request_id, number) in state.attempts for number in numbers):
+            state.open_correlation_ids.remove(request_id)
+
     def _fallback_time(self, time_left: timedelta) -> datetime:
         """When the reducer answers in place of the gateway, for a client that still waits for `time_left`."""
         return self._before_kill(self.now + max(time_left - self.config.fallback_margin, time_left / 2))
@@ -413,15 +426,17 @@
         state = self.state
         self._clear_client_state(event.client_id)
         request_id = state.clients_waiting.pop(event.client_id, None)
-        if request_id is not None and (stream := self._remove_stream(request_id)):
+        if request_id is not None and (stream := state.streams.get(request_id)):
             state.statistics.abandoned += 1
-            self._cut_stream(stream)
-        if request_id is not None and (request := self._remove_request(request_id)):
+            self._break_off_stream(stream)
+        if request_id is not None and (request := state.requests.get(request_id)):
             state.statistics.abandoned += 1
             self._remember_abandoned(request)
+            self._remove_request(request_id)
             self._withdraw(request)
         if request_id is not None:
             self._release_duplicate(state.held_duplicates.take_request(request_id))
+        self._let_gateway_decide()  # which cancels the attempts that are still out under the id
         self._resume_duplicate(event.client_id)
 
     # --- requests whose id is open already -----------------------------------------------------------------
@@ -432,9 +447,10 @@
         open. Returns False if the request cannot be held.
         """
         state = self.state
-        earlier = state.requests[state.open_correlation_ids[event.http_request.correlation_id]]
-        if earlier.time_after_body is not None:
-            return False
+        holder = state.open_correlation_ids.holder(event.http_request.correlation_id)
+        earlier = state.requests.get(holder) if holder is not None else None
+        if earlier is None or earlier.time_after_body is not None:
+            return False  # its answer has begun, or its client still sends
         if not state.held_duplicates.has_room_behind(earlier.client_id):
             return False
         state.held_duplicates.add(HeldDuplicate(event, earlier.client_id, self.now, memory))
@@ -483,10 +499,7 @@
             return
         if not request.may_have_run and not any(a.written for a in self._open_attempts(request)):
             return
-        abandoned_ids = self.state.abandoned_ids
-        abandoned_ids[request.http_request.correlation_id] = None
-        if len(abandoned_ids) > MAX_ABANDONED_IDS:
-            del abandoned_ids[next(iter(abandoned_ids))]
+        self.state.abandoned_ids.add(request.http_request.correlation_id)
 
     def _clear_client_state(self, client_id: int) -> bool:
         """Takes a client out of all states in which it owes a request or its rest.
@@ -684,7 +697,7 @@
             if streamed:
                 state.memory_in_use += request.memory
                 state.streams[request_id] = AnswerStream(
-                    request_id, request.class_index, request.client_id, request.memory,
+                    request_id, request.class_index, request.is_safe, request.client_id, request.memory,
                     fields["stream_connection_id"],
                 )  # fmt: skip
             elif self.state.clients_waiting.pop(request.client_id, None) is not None:
@@ -843,7 +856,9 @@
             return
         was_open = self.state.attempts.pop((attempt.request_id, attempt.number), None) is not None
         request = self.state.requests.get(attempt.request_id)
-        if request:
+        if request is None:
+            self._release_id(attempt.request_id)
+        else:
             request.open_attempts -= was_open
             if end not in interface.NEVER_RAN and not request.may_have_run:
                 request.may_have_run = True
@@ -1136,12 +1151,24 @@
 
     def _streamed_answer_ended(self, event: events.StreamedAnswerEnded) -> None:
         state = self.state
-        if stream := self._remove_stream(event.request_id):
+        if stream := state.streams.get(event.request_id):
             (state.statistics.served if event.complete else state.statistics.failed)[stream.class_index] += 1
-            self._cut_stream(stream)
+            if event.complete:
+                self._remove_stream(stream.request_id)
+                self._cut_stream(stream)
+            else:
+                self._break_off_stream(stream)
             if state.clients_waiting.pop(stream.client_id, None) is not None:
                 self._mark_client_idle(stream.client_id)
 
+    def _break_off_stream(self, stream: AnswerStream) -> None:
+        """Ends a streamed answer of which the client has not had the last byte. Its request has run."""
+        correlation_id = self.state.open_correlation_ids.id_of(stream.request_id)
+        if correlation_id is not None and not stream.is_safe:
+            self.state.abandoned_ids.add(correlation_id)
+        self._remove_stream(stream.request_id)
+        self._cut_stream(stream)
+
     def _cut_stream(self, stream: AnswerStream) -> None:
         """Closes the connection over which the rest of a streamed answer would come: nobody waits for it."""
         connection = self.state.connections.get(stream.connection_id)
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -12,6 +12,7 @@
 from opalgauge.memory.duplicates import HeldDuplicates
 from opalgauge.memory.effects import Destination
 from opalgauge.memory.events import BanStatus, HttpRequest, ListedServer
+from opalgauge.memory.request_ids import AbandonedIds, OpenIds
 from opalgauge.memory.timers import Timer
 from starlinggap import interface
 
@@ -205,6 +206,7 @@
 
     request_id: int
     class_index: int
+    is_safe: bool
     client_id: int
     memory: int  # bytes, as of its request
     connection_id: int  # that it comes over; 0: its last byte has come
@@ -220,10 +222,9 @@
     memory: MemoryLimits
     bans: dict[int, BanStatus] = field(default_factory=dict)  # by server: also those that were lifted
     requests: dict[int, RequestInProgress] = field(default_factory=dict)
-    open_correlation_ids: dict[str, int] = field(default_factory=dict)  # to these requests
+    open_correlation_ids: OpenIds = field(default_factory=OpenIds)
     held_duplicates: HeldDuplicates = field(default_factory=HeldDuplicates)
-    # Ids of requests that may have run when their clients left, and must not run twice; the oldest first.
-    abandoned_ids: dict[str, None] = field(default_factory=dict)
+    abandoned_ids: AbandonedIds = field(default_factory=AbandonedIds)  # must not run a second time
     memory_in_use: int = 0  # bytes that requests, begun ones included, and answers take at most
     memory_full: bool = False  # something was refused for want of memory; a change is logged
     # Each client's connection is in one of the six collections `clients_…`. Times say since when; the
