Share the ids that are out between the two processes of an upgrade

Cause: each process decided by its own table of open and abandoned ids. A list that is handed over, or messages that follow, leave a gap in which both send their request on.

Change: the ids stand in one file of $TMPDIR. A process claims an id there before the decisions hear of the request (effect ClaimId, event IdClaimed) and gives it back where the id is freed. What a dead process had open is told apart: a check may run, an order gets 502.

--- a/opalgauge/lifecycle/config.py
+++ b/opalgauge/lifecycle/config.py
@@ -204,7 +204,8 @@
         listen = _parse_address(environ.get("BALANCER_LISTEN") or str(platform_config["listen"]))
         # The environment takes precedence: two processes at one address differ in it only.
         admin_address = environ.get("BALANCER_CONSOLE") or platform_config.get("console")
-        inherited_fd = environ.get("BALANCER_LISTEN_FD")
+        inherited_fd, state_folder = environ.get("BALANCER_LISTEN_FD"), environ.get("TMPDIR", "")
+        ingress = replace(ingress, shares_ids=bool(inherited_fd and state_folder))
         return Config(
             str(platform_config.get("name", "")),
             listen,
@@ -216,7 +217,7 @@
             listen_fd=int(inherited_fd) if inherited_fd else None,
             peering=peering,
             platform_settings=platform_settings,
-            state_folder=environ.get("TMPDIR", ""),
+            state_folder=state_folder,
         )
     except (
         KeyError,
--- a/opalgauge/lifecycle/service.py
+++ b/opalgauge/lifecycle/service.py
@@ -30,6 +30,7 @@
 
 if TYPE_CHECKING:
     from opalgauge.handover.link import HandoverLink
+    from opalgauge.handover.shared_tables import SharedTables
     from opalgauge.wire.peers import PeerSocket
 
 MIN_CLOCK_STEP = timedelta(milliseconds=250)  # processes that share an unstepped wall clock differ by less
@@ -173,6 +174,26 @@
     return PeerServices(peer_socket, services, wait_until_ready)
 
 
+def open_shared_tables(config: Config, runtime: Runtime, log: Log) -> SharedTables | None:
+    """Opens what the processes of this ingress share beside the link, and routes the reducer's effects to it.
+
+    Without it this process serves as if it were alone.
+    """
+    from opalgauge.handover.record import Identity
+    from opalgauge.handover.shared_tables import SharedTables
+
+    try:
+        tables = SharedTables.open(config.state_folder, Identity.of(config.name, config.platform_settings))
+    except OSError as error:
+        log(f"handover: nothing can be shared with another process: {error}")
+        return None
+    handlers = runtime.effect_handlers
+    handlers[effects.ClaimId] = lambda effect: tables.claim_id(effect, runtime.report)
+    handlers[effects.ReleaseId] = tables.release_id
+    handlers[effects.AbandonId] = tables.abandon_id
+    return tables
+
+
 async def connect_to_old_process(config: Config, runtime: Runtime, clock: Clock, log: Log) -> HandoverLink:
     """Opens the link to the other process of this ingress and takes over its snapshot, if there is one.
 
@@ -280,6 +301,7 @@
         else None
     )
     if shared and config.state_folder:
+        open_shared_tables(config, runtime, log)
         link = await connect_to_old_process(config, runtime, clock, log)
         runtime.effect_handlers[effects.PersistBans] = persist_and_share(link, ban_file)
     runtime.start()
--- a/opalgauge/memory/effects.py
+++ b/opalgauge/memory/effects.py
@@ -34,6 +34,7 @@
     TOO_MANY = "too many requests or long bodies at once"
     ID_IN_USE = "its id is open already"
     MAY_HAVE_RUN = "its client had left, and it may have run"
+    ID_UNKNOWN = "whether its id is open cannot be told"
     WORKER_LOST = "the worker that decided is no more"
     STOPPING = "the process stops"
     CONNECTION_LIMIT = "no room for more connections"
@@ -127,6 +128,29 @@
     reason: Reason = reason_field()
 
 
+@dataclass(slots=True)
+class ClaimId:
+    """Claim a request's id among all processes of this ingress. The event is `IdClaimed`."""
+
+    request_id: int
+    correlation_id: str
+    is_safe: bool  # the request may be repeated
+
+
+@dataclass(slots=True)
+class ReleaseId:
+    """Give back the id of a request that is out no more, or that was not claimed after all."""
+
+    correlation_id: str
+
+
+@dataclass(slots=True)
+class AbandonId:
+    """Have all processes of this ingress refuse this id: its request may have run."""
+
+    correlation_id: str
+
+
 @dataclass(slots=True)
 class StreamAnswer:
     """Stream the answer that has begun to arrive on a connection, however little of it has come."""
@@ -310,6 +334,9 @@
     | AskServerList
     | ServerListSettled
     | AnswerClient
+    | ClaimId
+    | ReleaseId
+    | AbandonId
     | StreamAnswer
     | DelegateRequest
     | WithdrawRequest
--- a/opalgauge/memory/events.py
+++ b/opalgauge/memory/events.py
@@ -71,6 +71,23 @@
     exclusive_for: float = math.inf  # seconds
 
 
+class IdClaim(Enum):
+    """Whether this process may send on a request under its id, beside the ingress's other processes."""
+
+    GRANTED = "granted"
+    IN_USE = "out at another process"
+    MAY_HAVE_RUN = "may have run at another process"
+    UNAVAILABLE = "cannot be told"
+
+
+@dataclass(slots=True)
+class IdClaimed:
+    """The outcome of a `ClaimId`."""
+
+    request_id: int
+    claim: IdClaim
+
+
 @dataclass(slots=True)
 class RequestDelegated:
     """A client's request has been read, and another worker of this ingress decides about it."""
@@ -440,6 +457,7 @@
 
 Event = (
     RequestReceived
+    | IdClaimed
     | RequestDelegated
     | DuplicateRequestId
     | DelegatedRequestAnswered
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -90,6 +90,7 @@
         self.wake_up_at: datetime | None = None  # the time of the last WakeAt, until it has come
         self.event_handlers: dict[type, Callable[[Any], None]] = {
             events.RequestReceived: self._request_received,
+            events.IdClaimed: self._id_claimed,
             events.RequestDelegated: self._request_delegated,
             events.DuplicateRequestId: lambda event: self._reject(
                 event.request_id, event.client_id, 400, Reason.ID_IN_USE
@@ -226,22 +227,56 @@
     # --- clients -------------------------------------------------------------------------------------------
     def _request_received(self, event: events.RequestReceived) -> None:
         budget = self._open_request(event, None)
-        if budget is not None:
-            if self.config.uses_leases:
-                self.effects.append(
-                    effects.ReportAccount(
-                        event.account, event.plan_index, event.account_gateways, event.first_gateway
-                    )
-                )
-            self.gateway_events.append(
-                interface.Request(
-                    event.request_id, event.class_index, event.plan_index, event.account,
-                    budget.total_seconds(), event.units,
-                    event.account_gateways, event.first_gateway, event.is_retry,
-                    event.account_workers * self.state.process_count, event.exclusive_for,
-                    event.http_request.has_more_body,
+        if budget is None:
+            return
+        if self.config.uses_leases:
+            self.effects.append(
+                effects.ReportAccount(
+                    event.account, event.plan_index, event.account_gateways, event.first_gateway
                 )
-            )  # fmt: skip
+            )
+        to_decide = interface.Request(
+            event.request_id, event.class_index, event.plan_index, event.account,
+            budget.total_seconds(), event.units,
+            event.account_gateways, event.first_gateway, event.is_retry,
+            event.account_workers * self.state.process_count, event.exclusive_for,
+            event.http_request.has_more_body,
+        )  # fmt: skip
+        if not self.config.shares_ids:
+            self.gateway_events.append(to_decide)
+            return
+        request = self.state.requests[event.request_id]
+        request.unclaimed = to_decide
+        self.effects.append(
+            effects.ClaimId(event.request_id, event.http_request.correlation_id, request.is_safe)
+        )
+
+    def _id_claimed(self, event: events.IdClaimed) -> None:
+        """Passes a request on to the gateway, or rejects it as one of another process has its id."""
+        request = self.state.requests.get(event.request_id)
+        if request is None or request.unclaimed is None:
+            return  # it has ended, and its id has been given back
+        to_decide, request.unclaimed = request.unclaimed, None
+        statistics = self.state.statistics
+        match event.claim:
+            case events.IdClaim.GRANTED:
+                self.gateway_events.append(to_decide)
+            case events.IdClaim.IN_USE:
+                self._reject_opened(request, 400, Reason.ID_IN_USE)
+            case events.IdClaim.MAY_HAVE_RUN:
+                statistics.failed[request.class_index] += 1
+                self._reject_opened(request, 502, Reason.MAY_HAVE_RUN)
+            case events.IdClaim.UNAVAILABLE:
+                statistics.refused[request.class_index] += 1
+                self._reject_opened(request, 429, Reason.ID_UNKNOWN, self._short_retry_after())
+
+    def _reject_opened(
+        self, request: RequestInProgress, status: int, reason: Reason, retry_after: timedelta | None = None
+    ) -> None:
+        """Answers a request that the gateway was not told of."""
+        self._remove_request(request.id)
+        self.state.clients_waiting.pop(request.client_id, None)
+        self._reject(request.id, request.client_id, status, reason, retry_after)
 
     def _request_delegated(self, event: events.RequestDelegated) -> None:
         """Another worker decides, but this one owes the answer and enforces the limits and timeouts."""
@@ -384,7 +419,15 @@
             return
         numbers = range(self.config.settings.max_attempts)
         if not any((request_id, number) in state.attempts for number in numbers):
-            state.open_correlation_ids.remove(request_id)
+            correlation_id = state.open_correlation_ids.remove(request_id)
+            if correlation_id is not None and self.config.shares_ids:
+                self.effects.append(effects.ReleaseId(correlation_id))
+
+    def _abandon_id(self, correlation_id: str) -> None:
+        """Remembers the id of a request that has run, or may have: it must not run again if it comes back."""
+        self.state.abandoned_ids.add(correlation_id)
+        if self.config.shares_ids:
+            self.effects.append(effects.AbandonId(correlation_id))
 
     def _fallback_time(self, time_left: timedelta) -> datetime:
         """When the reducer answers in place of the gateway, for a client that still waits for `time_left`."""
@@ -494,12 +537,12 @@
         return [attempts[request.id, number] for number in numbers if (request.id, number) in attempts]
 
     def _remember_abandoned(self, request: RequestInProgress) -> None:
-        """Keeps the id of a request that may have run: it must not run again if it comes back."""
+        """Remembers the id of a request that may have run and must not run twice."""
         if request.is_safe:
             return
         if not request.may_have_run and not any(a.written for a in self._open_attempts(request)):
             return
-        self.state.abandoned_ids.add(request.http_request.correlation_id)
+        self._abandon_id(request.http_request.correlation_id)
 
     def _clear_client_state(self, client_id: int) -> bool:
         """Takes a client out of all states in which it owes a request or its rest.
@@ -1165,7 +1208,7 @@
         """Ends a streamed answer of which the client has not had the last byte. Its request has run."""
         correlation_id = self.state.open_correlation_ids.id_of(stream.request_id)
         if correlation_id is not None and not stream.is_safe:
-            self.state.abandoned_ids.add(correlation_id)
+            self._abandon_id(correlation_id)
         self._remove_stream(stream.request_id)
         self._cut_stream(stream)
 
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -37,6 +37,7 @@
     memory_limit: int = 192 * MIB  # bytes that the process may take
     memory: MemoryLimits = MemoryLimits.of_process(192 * MIB)  # until it has been measured
     uses_leases: bool = False  # the gateway's counts go to the lease holder and not to the counter
+    shares_ids: bool = False  # another process of this ingress may have a request with the same id
     watches_zones: bool = False  # attempts and lists are reported to the zone watch
     streams_answers: bool = True  # those that are not complete in time; workers cannot
     max_bans: int = 1000  # banned servers
@@ -198,6 +199,7 @@
     repeat_until: datetime | None = None  # set once it may have run: no attempt starts later
     timed_out: bool = False  # its last attempt did
     overdue_timer: Timer | None = None  # of the answer at `answer_by`
+    unclaimed: interface.Request | None = None  # what the gateway is told once the id is claimed
 
 
 @dataclass(slots=True)
--- a/opalgauge/wire/recorder.py
+++ b/opalgauge/wire/recorder.py
@@ -45,6 +45,7 @@
         "request_id", "http_request.correlation_id", "client_id", "class_index", "account", "time_left",
         "units",
     ),
+    events.IdClaimed: _format("request {}: its id is {}", "request_id", "claim"),
     events.ClientConnected: _format("client {} connected", "client_id"),
     events.ClientDisconnected: _format("client {} gone", "client_id"),
     events.NothingUnread: _format("client {}: nothing unread", "client_id"),
@@ -86,6 +87,7 @@
     effects.AnswerClient: _format(
         "request {} answered {}: {}, last {}", "request_id", "status", "reason", "close_connection",
     ),
+    effects.AbandonId: _format("id {} stays refused", "correlation_id"),
     effects.RefuseIncomplete: _format("client {} refused, no memory", "client_id"),
     effects.DropUnreadBytes: _format("client {}: what it sent behind its request is dropped", "client_id"),
     effects.StreamAnswer: _format("connection {}: its late answer is passed on", "connection_id"),
