Share the limits on memory and descriptors between two processes

Cause: each process planned with the whole of both limits. Halving from the new process's yes on is too late: an old one that has filled what it may leaves no room for the start of the next.

Change: what a process holds at most stands in the file of the processes (handover/process_table), settled under its lock, so the parts never add up to more than the limit. A process that is alone leaves room for a second one: its idle memory, as measured of itself, and a quarter of what two idle ones leave (an eighth of the descriptors). While there are two each has a half, but no more than the other leaves; the survivor gets the rest. The number of processes comes from the same file, so ceilings are shared out without a link as well.

--- a/opalgauge/handover/shared_tables.py
+++ b/opalgauge/handover/shared_tables.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from opalgauge.handover.id_table import IdTable
+from opalgauge.handover.limit_shares import Holding
 from opalgauge.handover.process_table import ProcessTable
 from opalgauge.handover.record import Identity
 from opalgauge.memory.effects import AbandonId, ClaimId, ReleaseId
@@ -24,9 +25,12 @@
     ids: IdTable
 
     @classmethod
-    def open(cls, folder: str, identity: Identity) -> SharedTables:
-        """Opens the files of an ingress, or creates them. Raises OSError if they cannot be used."""
-        processes = ProcessTable(Path(folder) / f"{PROCESSES_NAME}.{identity.ingress}")
+    def open(cls, folder: str, identity: Identity, holding: Holding) -> SharedTables:
+        """Opens the files of an ingress, or creates them. Raises OSError if they cannot be used.
+
+        `holding` is what this process holds at its start.
+        """
+        processes = ProcessTable(Path(folder) / f"{PROCESSES_NAME}.{identity.ingress}", holding)
         try:
             return cls(processes, IdTable(Path(folder) / f"{IDS_NAME}.{identity.ingress}", processes))
         except OSError:
--- a/opalgauge/lifecycle/config.py
+++ b/opalgauge/lifecycle/config.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from opalgauge.memory.buffers import MIB, MemoryLimits
+from opalgauge.memory.sockets import SocketLimits
 from opalgauge.memory.state import IngressConfig
 from opalgauge.wire.clients import RequestCatalog
 from opalgauge.wire.server_list import parse_servers
@@ -19,8 +20,6 @@
 from starlinggap.brain import check_settings
 from starlinggap.interface import Settings, SettingsError
 
-# With more than max_clients / KEEP_ALIVE_DIVISOR clients, new connections end with their first answer.
-KEEP_ALIVE_DIVISOR = 3
 # Share of the time allowed for connecting. A connect that succeeds takes a few ms.
 DIAL_TIMEOUT_SHARE = 0.4
 # Share of the time after which a server closes an idle connection, so that the ingress closes it first.
@@ -32,7 +31,6 @@
 LIST_WAIT = timedelta(seconds=20)
 LIST_FLEET_TURN = timedelta(milliseconds=100)  # per ingress: discovery served 6 to 12 lists a second
 LIST_MAX_PAUSE = timedelta(seconds=8)
-RESERVED_SOCKETS = 48  # listener, discovery, quota counter, standard streams and the event loop's own
 
 
 class ConfigError(Exception):
@@ -141,11 +139,10 @@
         settings = replace(settings, idle_timeout=server_idle_timeout.total_seconds())
         sockets = int(platform_config.get("limits", {}).get("sockets", 1024))
         known_list = platform_config.get("known") or {}
-        # Half of the descriptors are for clients, and most of the rest for connections to servers.
-        max_clients = max(16, sockets // 2)
-        max_connections = max(16, sockets - max_clients - RESERVED_SOCKETS)
         memory_mb = float(platform_config.get("limits", {}).get("memory_mb", 192))
         ceilings = platform_settings.get("ceilings", {})
+        max_open = int(ceilings.get("max_open", 20000))
+        connections = SocketLimits.of_process(sockets, max_open)
         dial_timeout = float(ceilings.get("dial_timeout", 0.25))
         check_platform_settings(platform_settings, settings, dial_timeout)
         ingress = IngressConfig(
@@ -163,10 +160,12 @@
             dial_timeout=timedelta(seconds=DIAL_TIMEOUT_SHARE * dial_timeout),
             server_idle_timeout=server_idle_timeout,
             counter_timeout=timedelta(seconds=settings.counter_timeout),
-            max_server_connections=max_connections,
-            max_requests=max(16, min(int(ceilings.get("max_open", 20000)), max_clients)),
-            max_clients=max_clients,
-            keep_alive_limit=max_clients // KEEP_ALIVE_DIVISOR,
+            max_server_connections=connections.max_server_connections,
+            max_requests=connections.max_requests,
+            max_clients=connections.max_clients,
+            keep_alive_limit=connections.keep_alive_limit,
+            max_open=max_open,
+            socket_limit=sockets,
             memory_limit=int(memory_mb * MIB),
             memory=MemoryLimits.of_process(int(memory_mb * MIB)),
         )
--- a/opalgauge/lifecycle/service.py
+++ b/opalgauge/lifecycle/service.py
@@ -21,7 +21,7 @@
 from opalgauge.lifecycle.sources import PlatformSource, SettingsReading, SettingsSource
 from opalgauge.memory import effects
 from opalgauge.memory.buffers import MemoryLimits
-from opalgauge.memory.events import DrainRequested, Event, MemoryMeasured
+from opalgauge.memory.events import DrainRequested, Event, MemoryMeasured, ProcessCountChanged
 from opalgauge.memory.reducer import BANS_KEY, Reducer
 from opalgauge.wire.clients import Clients
 from opalgauge.wire.runtime import Runtime
@@ -31,6 +31,7 @@
 if TYPE_CHECKING:
     from opalgauge.handover.link import HandoverLink
     from opalgauge.handover.shared_tables import SharedTables
+    from opalgauge.lifecycle.limit_sharing import LimitSharing
     from opalgauge.wire.peers import PeerSocket
 
 MIN_CLOCK_STEP = timedelta(milliseconds=250)  # processes that share an unstepped wall clock differ by less
@@ -181,9 +182,11 @@
     """
     from opalgauge.handover.record import Identity
     from opalgauge.handover.shared_tables import SharedTables
+    from opalgauge.lifecycle.limit_sharing import held_now
 
+    identity = Identity.of(config.name, config.platform_settings)
     try:
-        tables = SharedTables.open(config.state_folder, Identity.of(config.name, config.platform_settings))
+        tables = SharedTables.open(config.state_folder, identity, held_now())
     except OSError as error:
         log(f"handover: nothing can be shared with another process: {error}")
         return None
@@ -220,6 +223,21 @@
     return link
 
 
+def count_linked_processes(sharing: LimitSharing, report: Callable[[Event], None]) -> Callable[[Event], None]:
+    """Returns what reports the link's events where `sharing` tells how many processes there are.
+
+    It knows that also while the link is cut, and where it cannot be opened.
+    """
+
+    def report_event(event: Event) -> None:
+        if isinstance(event, ProcessCountChanged):
+            sharing.count_linked(event.process_count)
+        else:
+            report(event)
+
+    return report_event
+
+
 def persist_and_share(link: HandoverLink, ban_file: BanFile | None) -> Callable[[effects.PersistBans], None]:
     """Returns a handler that writes bans to the file and sends them to the other process.
 
@@ -234,14 +252,19 @@
     return persist
 
 
-def apply_memory_limits(process_limit: int, runtime: Runtime, clients: Clients) -> None:
-    """Divides what this process, which serves nobody yet, leaves of its memory limit (bytes)."""
+def apply_limits(
+    config: Config, runtime: Runtime, clients: Clients, sharing: LimitSharing | None, log: Log
+) -> None:
+    """Divides what this process, which serves nobody yet, leaves of its limits."""
     gc.collect()
     gc.freeze()  # later collections look at what requests leave behind, and not at the program itself
     idle = measure_memory()
     if idle is None:
         return
-    limits = MemoryLimits.of_process(process_limit, idle)
+    if sharing is not None:
+        sharing.start(idle, log)
+        return
+    limits = MemoryLimits.of_process(config.ingress.memory_limit, idle)
     runtime.report(MemoryMeasured(limits))
     clients.read_budget.total = limits.stream_reads
 
@@ -257,6 +280,7 @@
     runtime = Runtime(Reducer(config.ingress), clock.now, ServerListReader(config.zones), log, stopped.set)
     ready = draining = False
     link: HandoverLink | None = None
+    sharing: LimitSharing | None = None
     clients = runtime.clients = Clients(
         config.request_catalog, runtime.report, lambda: not draining,
         stream_read_memory=config.ingress.memory.stream_reads,
@@ -301,12 +325,17 @@
         else None
     )
     if shared and config.state_folder:
-        open_shared_tables(config, runtime, log)
+        if (tables := open_shared_tables(config, runtime, log)) is not None:
+            from opalgauge.lifecycle.limit_sharing import LimitSharing
+
+            sharing = LimitSharing(tables.processes, config.ingress, runtime.report, clients.read_budget)
         link = await connect_to_old_process(config, runtime, clock, log)
         runtime.effect_handlers[effects.PersistBans] = persist_and_share(link, ban_file)
     runtime.start()
+    if sharing is not None:
+        sharing.follow()
     if link is not None:
-        link.attach(runtime.report)
+        link.attach(runtime.report if sharing is None else count_linked_processes(sharing, runtime.report))
     async with open_admin_endpoint(
         config.admin_address,
         class_names=config.class_names,
@@ -322,7 +351,7 @@
             poll_ban_file(loop, ban_file, runtime.report)
         if peer_services is not None and config.peering is not None:
             await peer_services.start(config.peering.listen)
-        apply_memory_limits(config.ingress.memory_limit, runtime, clients)
+        apply_limits(config, runtime, clients, sharing, log)
         await runtime.list_settled.wait()
         if not draining:  # a process that was stopped while starting must not accept clients
             await clients.listen(*config.listen, config.listen_fd)
--- a/opalgauge/memory/buffers.py
+++ b/opalgauge/memory/buffers.py
@@ -70,7 +70,11 @@
     def of_process(cls, process_limit: int, idle: ProcessMemory = ProcessMemory()) -> MemoryLimits:
         """Divides what a process with this limit has beside its own needs."""
         beside_files = process_limit - idle.anonymous - idle.mapped
-        left = max(beside_files, min(process_limit - idle.anonymous, MIN_LEFT_BESIDE_FILES))
+        return cls.dividing(max(beside_files, min(process_limit - idle.anonymous, MIN_LEFT_BESIDE_FILES)))
+
+    @classmethod
+    def dividing(cls, left: int) -> MemoryLimits:
+        """Divides so many bytes, which a process has beside its own needs."""
         accounts = max(0, left) // ACCOUNTS_DIVISOR
         available = max(MIN_REQUEST_MEMORY, left - left // RESERVE_DIVISOR - accounts)
         max_accounts = accounts // ACCOUNT_MEMORY
--- a/opalgauge/memory/events.py
+++ b/opalgauge/memory/events.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from opalgauge.memory.buffers import MemoryLimits
+from opalgauge.memory.sockets import SocketLimits
 from starlinggap.interface import End, ListKind, ServerEntry
 
 
@@ -132,11 +133,18 @@
 
 @dataclass(slots=True)
 class MemoryMeasured:
-    """The process has started, and what it leaves of its memory limit is known."""
+    """What the process leaves of the memory that it may take is known, or has changed."""
 
     limits: MemoryLimits
 
 
+@dataclass(slots=True)
+class SocketLimitsChanged:
+    """The descriptors that this process may hold have changed, as another process has started or ended."""
+
+    limits: SocketLimits
+
+
 @dataclass(slots=True)
 class RequestHeadStarted:
     """A part of a request's head has come, but not all of it. Reported again as more of it comes."""
@@ -466,6 +474,7 @@
     | ClientDisconnected
     | NothingUnread
     | MemoryMeasured
+    | SocketLimitsChanged
     | RequestHeadStarted
     | RequestBodyStarted
     | AnswerBlocked
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -34,6 +34,7 @@
 from opalgauge.memory.drain import DrainSchedule, min_time_to_kill
 from opalgauge.memory.duplicates import HeldDuplicate
 from opalgauge.memory.effects import Reason
+from opalgauge.memory.sockets import SocketLimits
 from opalgauge.memory.state import (
     AnswerStream,
     Attempt,
@@ -77,6 +78,12 @@
             config.server_list_address,
             Statistics([0] * class_count, [0] * class_count, [0] * class_count),
             config.memory,
+            SocketLimits(
+                config.max_clients,
+                config.max_server_connections,
+                config.max_requests,
+                config.keep_alive_limit,
+            ),
             list_version=config.known_list_version if config.known_servers else None,
         )
         self.gateway = Gateway(config.settings, config.seed)
@@ -101,6 +108,7 @@
             events.ClientDisconnected: self._client_disconnected,
             events.NothingUnread: self._nothing_unread,
             events.MemoryMeasured: self._memory_measured,
+            events.SocketLimitsChanged: self._socket_limits_changed,
             events.RequestHeadStarted: self._request_head_started,
             events.RequestBodyStarted: self._request_body_started,
             events.RequestDiscarded: self._request_discarded,
@@ -330,7 +338,7 @@
         is_first = self._clear_client_state(event.client_id)
         http_request = event.http_request
         memory = state.memory.request_memory(len(http_request.body), http_request.head_memory)
-        if len(state.requests) >= config.max_requests or not self._has_memory(memory):
+        if len(state.requests) >= state.sockets.max_requests or not self._has_memory(memory):
             # Bounds the memory that a crowd of clients can take. Nothing has run, so a repeat does no harm.
             retry_after = timedelta(seconds=config.settings.max_retry_after)
             state.statistics.refused[event.class_index] += 1
@@ -394,6 +402,18 @@
         self.state.memory = event.limits
         self.gateway.max_accounts = event.limits.max_accounts
 
+    def _socket_limits_changed(self, event: events.SocketLimitsChanged) -> None:
+        """Closes what is idle beyond the new limits; what is in use ends by itself."""
+        state, limits = self.state, event.limits
+        state.sockets = limits
+        for client_id in (*state.clients_idle, *state.clients_new):
+            if state.client_count <= limits.max_clients:
+                break
+            self._close_client(client_id, Reason.CONNECTION_LIMIT)
+        while state.server_connection_count > limits.max_server_connections:
+            if not self._close_one_idle_connection():
+                break
+
     def _remove_request(self, request_id: int) -> RequestInProgress | None:
         """Takes a request out of the state."""
         state = self.state
@@ -444,7 +464,7 @@
 
     def _client_connected(self, event: events.ClientConnected) -> None:
         state, config = self.state, self.config
-        if state.client_count >= min(config.max_clients, state.memory.max_connections):
+        if state.client_count >= min(state.sockets.max_clients, state.memory.max_connections):
             # Clients that connect and send nothing must not use up the process's sockets or its memory:
             # neither clients nor servers could be reached any more. The first that matches below is closed
             # to make room; if none does, the new one is.
@@ -729,7 +749,7 @@
             # are kept.
             over_limit = (
                 request.is_first
-                and len(state.clients_waiting) + len(state.clients_idle) > self.config.keep_alive_limit
+                and len(state.clients_waiting) + len(state.clients_idle) > state.sockets.keep_alive_limit
             )
             close_connection = state.draining or over_limit or close
             self.effects.append(
@@ -810,7 +830,7 @@
             self._write_attempt(connection)
             return
         if (
-            state.server_connection_count >= self.config.max_server_connections
+            state.server_connection_count >= state.sockets.max_server_connections
             and not self._close_one_idle_connection()
         ):
             # Without free sockets the ingress could not accept clients any more.
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -13,6 +13,7 @@
 from opalgauge.memory.effects import Destination
 from opalgauge.memory.events import BanStatus, HttpRequest, ListedServer
 from opalgauge.memory.request_ids import AbandonedIds, OpenIds
+from opalgauge.memory.sockets import SocketLimits
 from opalgauge.memory.timers import Timer
 from starlinggap import interface
 
@@ -30,11 +31,13 @@
     dial_timeout: timedelta
     server_idle_timeout: timedelta  # a connection to a server that has been idle so long is closed
     counter_timeout: timedelta
-    max_server_connections: int
-    max_requests: int  # open at the same time
-    max_clients: int  # connections from clients
-    keep_alive_limit: int  # with more clients that wait or are idle, new ones are closed after one answer
-    memory_limit: int = 192 * MIB  # bytes that the process may take
+    max_server_connections: int  # this and the next three: see SocketLimits; until they change
+    max_requests: int
+    max_clients: int
+    keep_alive_limit: int
+    max_open: int = 20000  # requests at the same time, however many descriptors there are
+    socket_limit: int = 1024  # descriptors that all processes of the ingress may hold
+    memory_limit: int = 192 * MIB  # bytes that all processes of the ingress may take
     memory: MemoryLimits = MemoryLimits.of_process(192 * MIB)  # until it has been measured
     uses_leases: bool = False  # the gateway's counts go to the lease holder and not to the counter
     shares_ids: bool = False  # another process of this ingress may have a request with the same id
@@ -222,6 +225,7 @@
     server_list_address: str
     statistics: Statistics
     memory: MemoryLimits
+    sockets: SocketLimits
     bans: dict[int, BanStatus] = field(default_factory=dict)  # by server: also those that were lifted
     requests: dict[int, RequestInProgress] = field(default_factory=dict)
     open_correlation_ids: OpenIds = field(default_factory=OpenIds)
--- a/opalgauge/wire/recorder.py
+++ b/opalgauge/wire/recorder.py
@@ -62,6 +62,7 @@
         "connection {} answers in parts, head whole {}", "connection_id", "head_complete"
     ),
     events.MemoryMeasured: _format("memory: {} bytes for clients", "limits.requests"),
+    events.SocketLimitsChanged: _format("sockets: {} clients", "limits.max_clients"),
     events.ConnectionOpened: _format("connection {} up", "connection_id"),
     events.ConnectionLost: _format("connection {} ended by the other side, {}", "connection_id", "progress"),
     events.ConnectionStale: _format("connection {} was over before it was used", "connection_id"),
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -210,6 +210,7 @@
     settings: dict[str, Any] = SETTINGS,
     environ: Mapping[str, str] = MappingProxyType({}),
     memory_mb: float = 192,
+    sockets: int = 1024,
 ) -> AsyncIterator[Ingress]:
     """Starts an ingress as the platform does, and kills it at the end.
 
@@ -222,7 +223,7 @@
     config = {
         "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": discovery_address,
         "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": 1024}, "counter": counter_address,
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}, "counter": counter_address,
         "known": {"seq": 41, "whole": True, "hosts": [host]}, "settings": settings,
         "console": f"127.0.0.1:{admin_port}",
     }  # fmt: skip
--- a/tests/memory_crowd.py
+++ b/tests/memory_crowd.py
@@ -130,6 +130,16 @@
         await self._write(order + b"1\r\nx\r\n" * 60_000)
         await self._read_to_end()
 
+    async def half_head(self) -> None:
+        """Sends 26 kB of a head, and leaves just before a client has to complete it."""
+        fields = "".join(f"X-Field-{n}: {'v' * 200}\r\n" for n in range(120))
+        await self._write(self.request("POST", "/place-order", more=fields)[:-2])
+        await asyncio.sleep(1.9)
+
+    async def silent(self) -> None:
+        """Sends nothing."""
+        await asyncio.sleep(1.9)
+
     async def unread_answer(self) -> None:
         """Asks for answers of 60 kB, and reads none."""
         for _ in range(4):
@@ -145,6 +155,9 @@
         Connection.tiny_chunks, Connection.unread_answer,
     )
 }  # fmt: skip
+CROWDS_THAT_LEAVE = {
+    kind.__name__: kind for kind in (Connection.half_head, Connection.silent)
+}  # before their time for a request is over
 
 
 async def _run_client(address: tuple[str, int], kind: str, comes_again: bool) -> None:
@@ -157,7 +170,7 @@
         try:
             await asyncio.get_running_loop().sock_connect(sock, address)
             reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
-            await KINDS[kind](Connection(reader, writer))
+            await (KINDS | CROWDS_THAT_LEAVE)[kind](Connection(reader, writer))
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
--- a/tests/test_ids_of_two_processes.py
+++ b/tests/test_ids_of_two_processes.py
@@ -86,7 +86,12 @@
                         harness.ready_ingress(server, counter, agent, listener, str(folder))
                     )
                 )
-            await scenario(Scene(processes, received.requests, may_answer))
+            scene = Scene(processes, received.requests, may_answer)
+            try:
+                await scenario(scene)
+            finally:
+                for writer in scene.open:
+                    writer.close()
 
     asyncio.run(asyncio.wait_for(run(), 60))
 
