Keep a quarter of the memory for complete requests beside a crowd of parts

Cause: heads that never end could take all of the memory for requests.

Change: heads and begun bodies are refused from three quarters on; complete requests find the rest.

Measured: the new test failed before.

--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -58,6 +58,7 @@
 MIN_ANSWER_PARTS = 2  # after which a server is taken to be writing an answer
 MAX_DEPARTURE_WAIT = timedelta(milliseconds=200)  # to learn whether a client with an open request has left
 BANS_KEY = "bans"  # of the bans in what one process hands over to the next
+COMPLETE_SHARE = 1 / 4  # of the memory for requests: kept for those that are complete
 MICROSECOND = timedelta(microseconds=1)
 
 
@@ -398,6 +399,13 @@
             self.effects.append(effects.Log("memory: room again"))
         return has_memory
 
+    def _has_memory_for_incomplete(self, needed: int) -> bool:
+        """Whether there is memory for a part of a request.
+
+        Complete requests find room beside a crowd of clients that never complete theirs.
+        """
+        return self._has_memory(needed + int(self.state.memory.requests * COMPLETE_SHARE))
+
     def _memory_measured(self, event: events.MemoryMeasured) -> None:
         self.state.memory = event.limits
         self.gateway.max_accounts = event.limits.max_accounts
@@ -587,7 +595,7 @@
             state.clients_sending_head.setdefault(event.client_id, self.now)
             self._schedule_client_check()
             added = event.memory - state.head_memory.get(event.client_id, 0)
-            if not self._has_memory(added):
+            if not self._has_memory_for_incomplete(added):
                 self.effects.append(effects.RefuseIncomplete(event.client_id))
                 return
             state.head_memory[event.client_id] = event.memory
@@ -596,7 +604,7 @@
     def _request_body_started(self, event: events.RequestBodyStarted) -> None:
         self._clear_client_state(event.client_id)
         memory = event.memory
-        if not self._has_memory(memory):
+        if not self._has_memory_for_incomplete(memory):
             self.effects.append(effects.RefuseIncomplete(event.client_id))
             memory = 0
         self.state.clients_sending_body[event.client_id] = memory
--- a/tests/test_bounded_tables.py
+++ b/tests/test_bounded_tables.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from opalgauge.memory import events
+from opalgauge.memory import effects, events
 from opalgauge.memory.buffers import MIB, MemoryLimits, ProcessMemory
 from opalgauge.memory.timers import MIN_CANCELLED, TimerQueue
 from starlinggap import interface
@@ -59,3 +59,18 @@
         assert due.callback is not None
         due.callback(*due.args)
     assert called == [0, 3999] and queue.next_due() is None
+
+
+def test_complete_requests_find_room_beside_heads_that_never_end() -> None:
+    """Guards against a crowd of half heads for which every request is refused."""
+    rig = ReducerRig()
+    rig.step(events.MemoryMeasured(MemoryLimits.dividing(8 * MIB)))
+    for client_id in range(1001, 1200):
+        rig.step(events.ClientConnected(client_id))
+        rig.step(events.RequestHeadStarted(client_id, 100_000))
+        if effects.RefuseIncomplete(client_id) in rig.effects:
+            rig.step(events.ClientDisconnected(client_id))
+    assert effects.RefuseIncomplete(1199) in rig.effects
+    for _ in range(5):
+        rig.request(CHECK)
+    assert not rig.answers
