--- a/tests/test_limits_of_two_processes.py
+++ b/tests/test_limits_of_two_processes.py
@@ -21,6 +21,7 @@
 from opalgauge.handover.process_table import ProcessTable
 from tests import harness
 from tests.memory_crowd import MB, SAMPLE_INTERVAL, anonymous_memory, answer, crowd
+from tests.test_upgrade_faults import wait_for_record
 
 LONG_FOLDER = "x" * 100  # of a path that is too long for the address of a Unix socket
 FILL_TIME = 3.0  # s in which a crowd takes all that the old process gives
@@ -167,3 +168,25 @@
     assert second.settle(settle) and seen.pop() == []
     third = ProcessTable(path)
     assert third.number == 3 and third.settle(settle) and seen.pop() == [Holding(10, 1)]
+
+
+def test_processes_count_each_other_without_a_link() -> None:
+    """Guards against ceilings that both processes use in full where their link cannot be opened."""
+
+    async def scenario() -> None:
+        with tempfile.TemporaryDirectory() as parent, socket.socket() as listener:
+            folder = Path(parent) / LONG_FOLDER
+            folder.mkdir()
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(64)
+            async with (
+                harness.stand_in(harness.counter()) as (counter, _),
+                harness.stand_in(harness.no_response) as (agent, __),
+                harness.ready_ingress(counter, counter, agent, listener, str(folder)) as old,
+            ):
+                async with harness.ready_ingress(counter, counter, agent, listener, str(folder)) as new:
+                    await wait_for_record(new, b"2 processes of this ingress")
+                    await wait_for_record(old, b"2 processes of this ingress")
+                await wait_for_record(old, b"1 processes of this ingress")
+
+    asyncio.run(asyncio.wait_for(scenario(), 60))
