Take the age of a request's bytes from the kernel, after any wait to be read

Cause: the time of a request began as its bytes were read. What it had waited in the kernel was deducted only from the first request of a connection that waited to be accepted, and after pauses of reading; not where the process itself did not run.

Change: each read asks the kernel how old its last bytes are. That covers the accept queue, too, so the accept delay and its bookkeeping in the listener are gone.

Open: of bytes that were written at different times during one stall the first are taken to be as old as the last.

--- a/opalgauge/console/endpoint.py
+++ b/opalgauge/console/endpoint.py
@@ -99,7 +99,7 @@
 
     async def listen(self, host: str, port: int) -> None:
         """Starts to listen. Raises OSError if the address is not available."""
-        self.listener = Listener(bind(host, port), BACKLOG, lambda _: AdminConnection(self))
+        self.listener = Listener(bind(host, port), BACKLOG, lambda: AdminConnection(self))
 
     def close(self) -> None:
         """Stops listening."""
--- a/opalgauge/cores/supervisor.py
+++ b/opalgauge/cores/supervisor.py
@@ -336,7 +336,7 @@
             self.acceptor.close_when_empty()
         self._broadcast(messages.AcceptingStopped())
 
-    def _accepted(self, sock: socket.socket, _: float) -> None:
+    def _accepted(self, sock: socket.socket) -> None:
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if not self.free_slots:
--- a/opalgauge/wire/client_connection.py
+++ b/opalgauge/wire/client_connection.py
@@ -59,7 +59,7 @@
     """
 
     __slots__ = (
-        "lingering", "dropped_bytes", "max_dropped_bytes", "accept_delay", "max_read", "head_size",
+        "lingering", "dropped_bytes", "max_dropped_bytes", "max_read", "head_size",
         "head_fields", "unparsed", "unparsed_at", "parsed_at", "paused_at", "reads_late", "head_wait",
         "observer", "open_body", "disconnect_timer", "body_held",
     )  # fmt: skip
@@ -87,8 +87,6 @@
         self.body_held = False  # the rest of a request's body is not read until `release_reading`
         self.open_body: StreamReader | None = None  # the body of the open request; None: no request is open
         self.disconnect_timer: asyncio.TimerHandle | None = None
-        # s for which the first request waited in the kernel before the connection was accepted
-        self.accept_delay = 0.0
 
     # --- callbacks of asyncio and aiohttp ------------------------------------------------------------------
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -132,12 +130,15 @@
     def _take_read_delay(self) -> float:
         """How long the bytes that have just been read may have waited in the kernel (s).
 
-        The kernel tells the age of the last of them only, so the first are taken to be as old as the pause.
+        They wait while the connection is not accepted, its reading is paused or the process does not run. The
+        kernel tells the age of the last of them only, so the first are taken to be as old as a pause.
         """
-        if not self.reads_late or self.transport is None:
+        if self.transport is None:
             return 0.0
-        delay = max(data_age(self.transport), self._loop.time() - self.paused_at)
-        self.reads_late = bool(peek_byte(self.transport))
+        delay = data_age(self.transport)
+        if self.reads_late:
+            delay = max(delay, self._loop.time() - self.paused_at)
+            self.reads_late = bool(peek_byte(self.transport))
         return delay
 
     def _pause_reading_for_buffer(self) -> None:
@@ -238,14 +239,9 @@
         return handler
 
     # --- calls of the clients' server ----------------------------------------------------------------------
-    def take_accept_delay(self) -> float:
-        """How long the first request waited to be accepted (s); 0 for any later one."""
-        accept_delay, self.accept_delay = self.accept_delay, 0.0
-        return accept_delay
-
     @property
     def time_waited(self) -> float:
-        """How long the open request has waited behind the one before it (s).
+        """How long the open request has waited to be read, or behind the one before it (s).
 
         Its client may have written all of it then, though the rest comes only as it is read.
         """
--- a/opalgauge/wire/clients.py
+++ b/opalgauge/wire/clients.py
@@ -266,14 +266,11 @@
         """
         self.shared_socket = inherited is not None
         listen_socket = bind(host, port) if inherited is None else socket.socket(fileno=inherited)
-        self.listener = Listener(listen_socket, BACKLOG, self._make_connection, inherited is not None)
+        self.listener = Listener(listen_socket, BACKLOG, self._make_connection)
 
-    def _make_connection(self, accept_delay: float) -> asyncio.BaseProtocol:
+    def _make_connection(self) -> asyncio.BaseProtocol:
         connection = self.server()
-        if not isinstance(connection, ClientConnection):
-            return connection
-        connection.accept_delay = accept_delay
-        return ReadLimiter(connection)
+        return ReadLimiter(connection) if isinstance(connection, ClientConnection) else connection
 
     def stop_accepting(self) -> None:
         """Suspends accepting. Waiting connections stay in the kernel's queue, for any other process that
@@ -446,8 +443,6 @@
             pending.answer.set_result((effect, stream))
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        connection = request.protocol
-        accept_delay = connection.take_accept_delay() if isinstance(connection, ClientConnection) else 0.0
         if request.raw_path == "/ready":
             return await self._answer_directly(request, 200 if self.is_ready() else 503)
         client_id = self.client_ids.get(request.protocol)
@@ -455,7 +450,7 @@
             return web.Response(status=400)  # disconnected before its request was read
         try:
             received = await self._read_request(request, client_id)
-            received.time_left = max(ZERO, received.time_left - self._time_waited(client_id, accept_delay))
+            received.time_left = max(ZERO, received.time_left - self._time_waited(client_id))
         except MalformedRequest as error:
             self.report(RequestDiscarded(client_id))
             # What is left of a body that was not read to its end would be taken for the next request.
@@ -498,14 +493,14 @@
         size = connection.head_size if isinstance(connection, ClientConnection) else 0
         return head_memory(size + HEAD_READ_SIZE if size else 0, len(request.headers))
 
-    def _time_waited(self, client_id: int, accept_delay: float) -> timedelta:
-        """How long a request has waited: to be accepted, or behind the one before it.
+    def _time_waited(self, client_id: int) -> timedelta:
+        """How long a request has waited until it was parsed.
 
         Servers are not told of time that the client no longer has.
         """
         connection = self.connections.get(client_id)
         waited = connection.time_waited if isinstance(connection, ClientConnection) else 0.0
-        return timedelta(seconds=accept_delay + waited)
+        return timedelta(seconds=waited)
 
     async def _await_answer(self, request: web.BaseRequest, received: RequestReceived) -> web.StreamResponse:
         complete = not received.http_request.has_more_body
--- a/opalgauge/wire/listener.py
+++ b/opalgauge/wire/listener.py
@@ -8,12 +8,9 @@
 
 import asyncio
 import contextlib
-import math
 import socket
 from collections.abc import Callable
 
-from opalgauge.wire.socket_state import last_data_age
-
 MAX_ACCEPTS_PER_TURN = 8  # connections per loop iteration, so that other work has its turn
 MAX_ABORTS_PER_TURN = 16  # connections per loop iteration that were closed before they were accepted
 ACCEPT_RETRY_DELAY = 0.02  # s after a failed `accept`: retrying at once would use up the core
@@ -33,22 +30,10 @@
 
 
 class Acceptor:
-    """Accepts connections from a listening socket and passes them to `on_accepted`, until it is closed.
-
-    The second argument of `on_accepted` is the accept delay: the seconds for which the client's data waited
-    unread because nobody accepted. That happens after a failed `accept`, during a suspension, and when a
-    process starts on a socket on which clients wait already (`inherited`).
-    """
+    """Accepts connections from a listening socket and passes them to `on_accepted`, until it is closed."""
 
-    def __init__(
-        self,
-        listen_socket: socket.socket,
-        on_accepted: Callable[[socket.socket, float], None],
-        inherited: bool = False,
-    ) -> None:
+    def __init__(self, listen_socket: socket.socket, on_accepted: Callable[[socket.socket], None]) -> None:
         self.listen_socket, self.on_accepted = listen_socket, on_accepted
-        # Loop time since which nobody has accepted; infinite while connections are accepted.
-        self.not_accepting_since = -math.inf if inherited else math.inf
         self.listen_socket.setblocking(False)
         self.loop = asyncio.get_running_loop()
         self.closed = self.closing = self.suspended = False
@@ -74,7 +59,6 @@
             try:
                 accepted, _address = self.listen_socket.accept()
             except BlockingIOError:
-                self.not_accepting_since = math.inf
                 if self.closing:
                     self.close()
                 return
@@ -89,17 +73,11 @@
                 return
             accepted_count += 1
             accepted.setblocking(False)
-            self.on_accepted(accepted, self._accept_delay(accepted))
+            self.on_accepted(accepted)
         if self.closing:
             self._retry_later()
 
-    def _accept_delay(self, accepted: socket.socket) -> float:
-        """Seconds that the client's data waited, at most the time for which nobody accepted."""
-        not_accepting_for = self.loop.time() - self.not_accepting_since
-        return min(not_accepting_for, last_data_age(accepted)) if not_accepting_for > 0 else 0.0
-
     def _retry_later(self) -> None:
-        self.not_accepting_since = min(self.not_accepting_since, self.loop.time())
         self.loop.remove_reader(self.listen_socket.fileno())
         if self.retry_timer is None:
             self.retry_timer = self.loop.call_later(ACCEPT_RETRY_DELAY, self._start_accepting)
@@ -109,7 +87,6 @@
         if self.closed or self.closing:
             return
         self.suspended = True
-        self.not_accepting_since = min(self.not_accepting_since, self.loop.time())
         self._cancel_retry()
         self.loop.remove_reader(self.listen_socket.fileno())
 
@@ -149,14 +126,13 @@
         self,
         listen_socket: socket.socket,
         backlog: int,
-        make_protocol: Callable[[float], asyncio.BaseProtocol],
-        inherited: bool = False,
+        make_protocol: Callable[[], asyncio.BaseProtocol],
     ) -> None:
-        self.make_protocol = make_protocol  # called with the accept delay (s)
+        self.make_protocol = make_protocol
         self.loop = asyncio.get_running_loop()
         self.starting: set[asyncio.Task[None]] = set()  # accepted, without a protocol so far
         listen_socket.listen(backlog)
-        self.acceptor = Acceptor(listen_socket, self._on_accepted, inherited)
+        self.acceptor = Acceptor(listen_socket, self._on_accepted)
 
     @property
     def address(self) -> tuple[str, int]:
@@ -168,14 +144,14 @@
         """Whether a connection is still to be accepted while closing, or has no protocol so far."""
         return bool(self.starting) or self.acceptor.closing and not self.acceptor.closed
 
-    def _on_accepted(self, accepted: socket.socket, accept_delay: float) -> None:
-        task = self.loop.create_task(self._start(accepted, accept_delay))
+    def _on_accepted(self, accepted: socket.socket) -> None:
+        task = self.loop.create_task(self._start(accepted))
         self.starting.add(task)
         task.add_done_callback(self.starting.discard)
 
-    async def _start(self, accepted: socket.socket, accept_delay: float) -> None:
+    async def _start(self, accepted: socket.socket) -> None:
         try:
-            await self.loop.connect_accepted_socket(lambda: self.make_protocol(accept_delay), accepted)
+            await self.loop.connect_accepted_socket(self.make_protocol, accepted)
         except OSError:
             with contextlib.suppress(OSError):
                 accepted.close()
--- a/opalgauge/wire/socket_state.py
+++ b/opalgauge/wire/socket_state.py
@@ -88,22 +88,10 @@
     if borrowed is None:
         return 0.0
     try:
-        return _last_data_recv(borrowed)
+        size = LAST_DATA_RECV_OFFSET + LAST_DATA_RECV.size
+        info = borrowed.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
+        return float(LAST_DATA_RECV.unpack_from(info, LAST_DATA_RECV_OFFSET)[0]) / 1000
     except (OSError, struct.error):
         return 0.0
     finally:
         borrowed.detach()
-
-
-def _last_data_recv(sock: socket.SocketType) -> float:
-    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECV_OFFSET + LAST_DATA_RECV.size)
-    return float(LAST_DATA_RECV.unpack_from(info, LAST_DATA_RECV_OFFSET)[0]) / 1000
-
-
-def last_data_age(accepted: socket.socket) -> float:
-    """Seconds since data last arrived on a newly accepted connection; 0 if none has, or on an error."""
-    try:
-        accepted.recv(1, socket.MSG_PEEK)
-        return _last_data_recv(accepted)
-    except (OSError, struct.error):
-        return 0.0
