Tell the other process of an upgrade the node list, and take the newer of two

Cause: each process knew only what the agent had told it; the record handed over leaves out the list, and there was no message for it.

Change: message List over the link, sent with each answer of the agent that changes the list, and to a process that connects later. The newer version counts; versions of another agent, or of the configuration, are not compared. A caller of the link gets messages only behind its record, and a message that is too long is logged in place of being dropped silently.

Open: with no link (a path over 90 bytes) a new process serves by its configuration until the agent answers.

--- a/opalgauge/handover/link.py
+++ b/opalgauge/handover/link.py
@@ -20,9 +20,11 @@
     BansReceived,
     BanStatus,
     Event,
+    ListReceived,
     OtherProcessAccepting,
     ProcessCountChanged,
     SnapshotReceived,
+    ToldList,
 )
 
 SOCKET_NAME = "opalgauge.kin"
@@ -54,6 +56,8 @@
         self.clock_offset = timedelta(0)  # the old process's clock minus ours, after a handover
         self.server: asyncio.Server | None = None
         self.callers: set[asyncio.StreamWriter] = set()
+        self.linked: set[asyncio.StreamWriter] = set()  # callers that have had the answer to their hello
+        self.told_list: ToldList | None = None  # the last one that was sent, for later callers
         self.tasks: set[asyncio.Task[None]] = set()
         self.predecessor: asyncio.StreamWriter | None = None
         self.serving = False  # whether this process accepts clients
@@ -104,14 +108,25 @@
         """Tells the other process the bans that this one knows of."""
         self._send(messages.Bans(bans))
 
+    def send_list(self, told: ToldList) -> None:
+        """Tells the other process the server list, also one that connects later."""
+        self.told_list = told
+        self._send(messages.List(told))
+
     def _send(self, message: messages.Message) -> None:
         """Sends a message to the other process, if there is one that reads."""
+        for writer in (self.predecessor, *self.linked):
+            if writer is not None:
+                self._send_to(writer, message)
+
+    def _send_to(self, writer: asyncio.StreamWriter, message: messages.Message) -> None:
         line = messages.encode(message)
         if len(line) > messages.MAX_MESSAGE_BYTES:
+            self.log(
+                f"handover: {len(line)} bytes are too many for one message; the other process is not told"
+            )
             return
-        for writer in (self.predecessor, *self.callers):
-            if writer is not None:
-                self._write(writer, line)
+        self._write(writer, line)
 
     @staticmethod
     def _write(writer: asyncio.StreamWriter, line: bytes) -> None:
@@ -179,6 +194,8 @@
                     self._set_other_serving(other, serving)
                 case messages.Bans(bans):
                     self.report(BansReceived(bans, persist=True))
+                case messages.List(told):
+                    self.report(ListReceived(told))
 
     async def _listen(self) -> None:
         try:
@@ -204,14 +221,18 @@
             if reply == record.OTHER_INGRESS:
                 return
             self.report(ProcessCountChanged(2))
+            self.linked.add(writer)
             if self.serving:
-                self._write(writer, messages.encode(messages.Serving(True)))
+                self._send_to(writer, messages.Serving(True))
+            if self.told_list is not None:
+                self._send_to(writer, messages.List(self.told_list))
             await self._receive_messages(reader, writer)
         except (OSError, TimeoutError, ValueError):
             pass  # the caller has disconnected, is silent or sends too long a line
         finally:
             self._set_other_serving(writer, False)
             self.callers.discard(writer)
+            self.linked.discard(writer)
             writer.close()
             if not self.callers:
                 self.report(ProcessCountChanged(1))
--- a/opalgauge/handover/messages.py
+++ b/opalgauge/handover/messages.py
@@ -7,9 +7,11 @@
 
 import json
 from dataclasses import dataclass
+from typing import Any
 
 from opalgauge.memory.bans import InvalidBans, bans_from_plain, bans_to_plain
-from opalgauge.memory.events import BanStatus
+from opalgauge.memory.events import BanStatus, ListedServer, ToldList
+from starlinggap.interface import Health, ServerEntry
 
 MAX_MESSAGE_BYTES = 1 << 20  # a longer message is not sent
 
@@ -28,7 +30,14 @@
     bans: tuple[BanStatus, ...]
 
 
-Message = Serving | Bans
+@dataclass(frozen=True, slots=True)
+class List:
+    """The server list, as the discovery agent has told the sender."""
+
+    told: ToldList
+
+
+Message = Serving | Bans | List
 
 
 def encode(message: Message) -> bytes:
@@ -38,6 +47,9 @@
             content: dict[str, object] = {"serving": serving}
         case Bans(bans):
             content = {"bans": bans_to_plain(bans)}
+        case List(told):
+            rows = [_server_to_plain(server) for server in told.servers]
+            content = {"list": {"agent": told.agent_address, "version": told.version, "servers": rows}}
     return json.dumps(content, separators=(",", ":")).encode() + b"\n"
 
 
@@ -49,6 +61,25 @@
             return None
         if isinstance(serving := content.get("serving"), bool):
             return Serving(serving)
+        if "list" in content:
+            plain = content["list"]
+            servers = tuple(map(_server_from_plain, plain["servers"]))
+            return List(ToldList(str(plain["agent"]), int(plain["version"]), servers))
         return Bans(bans_from_plain(content["bans"])) if "bans" in content else None
-    except (InvalidBans, ValueError, RecursionError):
+    except (InvalidBans, ValueError, KeyError, TypeError, OverflowError, RecursionError):
         return None
+
+
+def _server_to_plain(server: ListedServer) -> list[Any]:
+    entry = server.entry
+    return [
+        server.address, entry.server, entry.health.value, entry.zone, entry.cell, entry.started, entry.weight
+    ]  # fmt: skip
+
+
+def _server_from_plain(plain: Any) -> ListedServer:
+    address, server_id, health, zone, cell, started, weight = plain
+    return ListedServer(
+        str(address),
+        ServerEntry(int(server_id), Health(health), int(zone), int(cell), float(started), float(weight)),
+    )
--- a/opalgauge/lifecycle/config.py
+++ b/opalgauge/lifecycle/config.py
@@ -204,7 +204,7 @@
         # The environment takes precedence: two processes at one address differ in it only.
         admin_address = environ.get("BALANCER_CONSOLE") or platform_config.get("console")
         inherited_fd, state_folder = environ.get("BALANCER_LISTEN_FD"), environ.get("TMPDIR", "")
-        ingress = replace(ingress, shares_ids=bool(inherited_fd and state_folder))
+        ingress = replace(ingress, shares_state=bool(inherited_fd and state_folder))
         return Config(
             str(platform_config.get("name", "")),
             listen,
--- a/opalgauge/lifecycle/service.py
+++ b/opalgauge/lifecycle/service.py
@@ -331,6 +331,8 @@
             sharing = LimitSharing(tables.processes, config.ingress, runtime.report, clients.read_budget)
         link = await connect_to_old_process(config, runtime, clock, log)
         runtime.effect_handlers[effects.PersistBans] = persist_and_share(link, ban_file)
+        send_list = link.send_list
+        runtime.effect_handlers[effects.ShareList] = lambda effect: send_list(effect.told)
     runtime.start()
     if sharing is not None:
         sharing.follow()
--- a/opalgauge/memory/effects.py
+++ b/opalgauge/memory/effects.py
@@ -10,7 +10,7 @@
 from enum import Enum
 from typing import Any
 
-from opalgauge.memory.events import BanStatus, HttpRequest, RequestReceived
+from opalgauge.memory.events import BanStatus, HttpRequest, RequestReceived, ToldList
 from starlinggap.interface import End, ServerEntry
 
 
@@ -249,6 +249,13 @@
     text: str
 
 
+@dataclass(slots=True)
+class ShareList:
+    """Tell the other process of this ingress the server list, which the agent has just told this one."""
+
+    told: ToldList
+
+
 @dataclass(slots=True)
 class PersistBans:
     """Write all bans to the ban file, so that they outlive this process. Precedes the answer to staff."""
@@ -350,6 +357,7 @@
     | ResumeAccepting
     | StopListening
     | AnswerStaff
+    | ShareList
     | PersistBans
     | ReportAttempt
     | ReportServers
--- a/opalgauge/memory/events.py
+++ b/opalgauge/memory/events.py
@@ -325,7 +325,7 @@
     keep_alive: bool
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class ListedServer:
     """A server in the server list: its entry for the gateway, its address for the wire."""
 
@@ -345,6 +345,22 @@
     refused: bool = False  # it has no list for us now; the last one stays valid
 
 
+@dataclass(frozen=True, slots=True)
+class ToldList:
+    """The complete server list, as a discovery agent has told it to a process of this ingress."""
+
+    agent_address: str
+    version: int
+    servers: tuple[ListedServer, ...]
+
+
+@dataclass(slots=True)
+class ListReceived:
+    """Another process of this ingress has been told the server list."""
+
+    told: ToldList
+
+
 @dataclass(slots=True)
 class WakeUpDue:
     """The time of the last `WakeAt` has come."""
@@ -496,6 +512,7 @@
     | ServerAnswered
     | CounterAnswered
     | ServerListAnswered
+    | ListReceived
     | WakeUpDue
     | AddressesChanged
     | ServersConfigured
--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -131,6 +131,7 @@
             events.ServerAnswered: self._server_answered,
             events.CounterAnswered: self._counter_answered,
             events.ServerListAnswered: self._server_list_answered,
+            events.ListReceived: self._list_received,
             events.WakeUpDue: self._wake_up_due,
             events.AddressesChanged: self._addresses_changed,
             events.ServersConfigured: lambda event: self._apply_list(
@@ -251,7 +252,7 @@
             event.account_workers * self.state.process_count, event.exclusive_for,
             event.http_request.has_more_body,
         )  # fmt: skip
-        if not self.config.shares_ids:
+        if not self.config.shares_state:
             self.gateway_events.append(to_decide)
             return
         request = self.state.requests[event.request_id]
@@ -448,13 +449,13 @@
         numbers = range(self.config.settings.max_attempts)
         if not any((request_id, number) in state.attempts for number in numbers):
             correlation_id = state.open_correlation_ids.remove(request_id)
-            if correlation_id is not None and self.config.shares_ids:
+            if correlation_id is not None and self.config.shares_state:
                 self.effects.append(effects.ReleaseId(correlation_id))
 
     def _abandon_id(self, correlation_id: str) -> None:
         """Remembers the id of a request that has run, or may have: it must not run again if it comes back."""
         self.state.abandoned_ids.add(correlation_id)
-        if self.config.shares_ids:
+        if self.config.shares_state:
             self.effects.append(effects.AbandonId(correlation_id))
 
     def _fallback_time(self, time_left: timedelta) -> datetime:
@@ -1570,9 +1571,27 @@
             state.list_reachable = True
             self.effects.append(effects.Log("node list: agent answers again"))
         state.list_version, state.list_refusals, state.list_heard = event.version, 0, True
+        state.list_told = True
         self._settle_list()
         if event.servers or event.list_kind is not interface.ListKind.CHANGES:
             self._apply_list(event.list_kind, event.servers or ())
+            if self.config.shares_state:
+                servers = tuple(state.servers.values())
+                told = events.ToldList(state.server_list_address, event.version, servers)
+                self.effects.append(effects.ShareList(told))
+
+    def _list_received(self, event: events.ListReceived) -> None:
+        """Takes over a list that the agent has told the other process, if it is news here.
+
+        Versions can be compared only with those that the same agent has told.
+        """
+        state, told = self.state, event.told
+        if told.agent_address != state.server_list_address:
+            return
+        if state.list_told and state.list_version is not None and told.version <= state.list_version:
+            return
+        state.list_version, state.list_told = told.version, True
+        self._apply_list(interface.ListKind.COMPLETE, told.servers)
 
     def _list_refused(self, connection: Connection) -> None:
         """Asks again after a pause that grows with each refusal and is random, to spread the ingresses.
@@ -1657,7 +1676,7 @@
         if event.server_list_address != state.server_list_address:
             state.server_list_address = event.server_list_address
             # Another agent may count versions differently: its complete list is asked for.
-            state.list_version, state.list_refusals = None, 0
+            state.list_version, state.list_refusals, state.list_told = None, 0, False
             state.list_heard, state.unheard_list_requests = False, 0
             for connection in self._list_connections():
                 self._close_connection(connection, Reason.ADDRESS_CHANGED)
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -40,7 +40,7 @@
     memory_limit: int = 192 * MIB  # bytes that all processes of the ingress may take
     memory: MemoryLimits = MemoryLimits.of_process(192 * MIB)  # until it has been measured
     uses_leases: bool = False  # the gateway's counts go to the lease holder and not to the counter
-    shares_ids: bool = False  # another process of this ingress may have a request with the same id
+    shares_state: bool = False  # with another process of this ingress: ids that are out, the server list
     watches_zones: bool = False  # attempts and lists are reported to the zone watch
     streams_answers: bool = True  # those that are not complete in time; workers cannot
     max_bans: int = 1000  # banned servers
@@ -258,6 +258,7 @@
     list_reachable: bool = True  # the discovery agent answers; a change is logged
     list_refusals: int = 0  # one after another
     list_heard: bool = False  # the agent at this address has answered with a list, and not fallen silent
+    list_told: bool = False  # `list_version` is the agent's, told here or to the other process
     list_settled: bool = False  # see effects.ServerListSettled
     unheard_list_requests: int = 0  # while the agent was not heard
     last_connection_id: int = 0
--- a/opalgauge/wire/recorder.py
+++ b/opalgauge/wire/recorder.py
@@ -75,6 +75,7 @@
         "connection {}: node list version {}, {}, refused {}",
         "connection_id", "version", "list_kind", "refused",
     ),
+    events.ListReceived: _format("node list version {} from the other process", "told.version"),
     events.DrainRequested: _format("asked to stop, successor {}", "has_successor"),
     effects.OpenConnection: _format("connection {} to {} {}", "connection_id", "destination", "address"),
     effects.CloseConnection: _format("connection {} closed: {}", "connection_id", "reason"),
--- a/opalgauge/wire/runtime.py
+++ b/opalgauge/wire/runtime.py
@@ -112,6 +112,8 @@
             # Only with an admin endpoint: replaced by `opalgauge.console`.
             effects.AnswerStaff: lambda _: None,
             effects.PersistBans: lambda _: None,
+            # Only beside another process of this ingress: replaced by `opalgauge.handover`.
+            effects.ShareList: lambda _: None,
             # Only if the health of zones is watched: replaced by `opalgauge.zones`.
             effects.ReportAttempt: lambda _: None,
             effects.ReportServers: lambda _: None,
--- a/tests/test_silent_agent_at_start.py
+++ b/tests/test_silent_agent_at_start.py
@@ -261,3 +261,33 @@
     assert [r.since_version for r in rig.list_requests()[before:]] == [None] * (silent_requests + 1)
     answer(rig, rig.last_list_request().connection_id, version=2)
     assert rig.reducer.state.list_version == 2 and settled(rig) == [True]
+
+
+def draining_in(rig: ReducerRig) -> list[int]:
+    servers = rig.reducer.state.servers.values()
+    return [s.entry.server for s in servers if s.entry.health is interface.Health.DRAINING]
+
+
+def received(version: int, draining: bool, agent: str = "127.0.0.1:8500") -> events.ListReceived:
+    health = interface.Health.DRAINING if draining else interface.Health.READY
+    return events.ListReceived(events.ToldList(agent, version, (listed_server(1, health), listed_server(2))))
+
+
+def test_the_newer_of_two_lists_counts_whichever_process_was_told_it() -> None:
+    """Guards against news of the other process that is older than what the agent has told here."""
+    rig = ReducerRig(shares_state=True, known_list_version=90)
+    rig.step(received(50, draining=True, agent="127.0.0.1:1"))
+    assert draining_in(rig) == [], "versions of another agent say nothing"
+    rig.step(received(50, draining=True))
+    assert draining_in(rig) == [1], "the list of the configuration may have been counted by another agent"
+    rig.step(received(49, draining=False))
+    assert draining_in(rig) == [1]
+    rig.open_list_connection()
+    answer(rig, rig.last_list_request().connection_id, 51)
+    shared = [effect.told.version for effect in rig.effects if isinstance(effect, effects.ShareList)]
+    assert shared == [51], "only what the agent has told here is passed on"
+    servers = dict(rig.reducer.state.servers)
+    rig.step(received(51, draining=True))
+    assert rig.reducer.state.servers == servers
+    rig.step(received(52, draining=True))
+    assert draining_in(rig) == [1]
--- a/tests/test_upgrade_faults.py
+++ b/tests/test_upgrade_faults.py
@@ -198,7 +198,17 @@
 
 
 @pytest.mark.parametrize(
-    "line", [b"", b"{", b"[]\n", b'{"serving":1}\n', b'{"bans":[[1]]}\n', b'{"later":{}}\n', b"[" * 100_000]
+    "line",
+    [
+        b"",
+        b"{",
+        b"[]\n",
+        b'{"serving":1}\n',
+        b'{"bans":[[1]]}\n',
+        b'{"later":{}}\n',
+        b'{"list":{}}\n',
+        b"[" * 100_000,
+    ],
 )
 def test_an_unknown_message_is_ignored(line: bytes) -> None:
     assert messages.decode(line) is None
@@ -210,5 +220,8 @@
         messages.Serving(False),
         messages.Bans((BAN,)),
         messages.Bans(()),
+        messages.List(
+            events.ToldList("127.0.0.1:8500", 42, (listed_server(1), listed_server(2, started=3.5)))
+        ),
     ):
         assert messages.decode(messages.encode(message)) == message
