--- a/tests/memory_crowd.py
+++ b/tests/memory_crowd.py
@@ -21,9 +21,18 @@
 
 def anonymous_memory(pid: int) -> int:
     """The anonymous memory of a process in bytes; 0 if it has ended."""
+    return _memory_field(pid, "RssAnon:")
+
+
+def mapped_memory(pid: int) -> int:
+    """The memory of the files that a process maps in bytes; 0 if it has ended."""
+    return _memory_field(pid, "RssFile:")
+
+
+def _memory_field(pid: int, field: str) -> int:
     with contextlib.suppress(OSError):
         for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-            if line.startswith("RssAnon:"):
+            if line.startswith(field):
                 return int(line.split()[1]) * 1024
     return 0
 
--- a/tests/test_limits_of_two_processes.py
+++ b/tests/test_limits_of_two_processes.py
@@ -20,7 +20,7 @@
 from opalgauge.handover.limit_shares import Holding, SharedLimit
 from opalgauge.handover.process_table import ProcessTable
 from tests import harness
-from tests.memory_crowd import MB, SAMPLE_INTERVAL, anonymous_memory, answer, crowd
+from tests.memory_crowd import MB, SAMPLE_INTERVAL, anonymous_memory, answer, crowd, mapped_memory
 from tests.test_upgrade_faults import wait_for_record
 
 LONG_FOLDER = "x" * 100  # of a path that is too long for the address of a Unix socket
@@ -28,15 +28,6 @@
 OVERLAP = 2.5  # s of the crowd at both processes
 
 
-def mapped_memory(pid: int) -> int:
-    """The memory of the files that a process maps in bytes; 0 if it has ended."""
-    with contextlib.suppress(OSError):
-        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-            if line.startswith("RssFile:"):
-                return int(line.split()[1]) * 1024
-    return 0
-
-
 @dataclass
 class Sampler:
     """Records the peaks of what processes take together, in a thread of its own."""
--- a/tests/test_upgrade_faults.py
+++ b/tests/test_upgrade_faults.py
@@ -14,7 +14,7 @@
 from opalgauge.memory import effects, events
 from tests import harness
 from tests.kill_scene import KillScene, scene
-from tests.reducer_rig import CHECK, START, ReducerRig
+from tests.reducer_rig import CHECK, START, ReducerRig, listed_server
 
 STOPPED_ACCEPTING = b"no more connections, another process takes them"
 CLOCKS = record.ClockReading(START, START - START)
