Take the other process's list only while the agent is not heard here, and if it is newer

Suspected, by reading: a list of the other process could replace a newer one of the configuration, or one that this process was told after a restart of the agent. Change: it counts only while this process does not hear the agent, and only if its version is over the one that is known.

--- a/opalgauge/memory/reducer.py
+++ b/opalgauge/memory/reducer.py
@@ -1571,7 +1571,6 @@
             state.list_reachable = True
             self.effects.append(effects.Log("node list: agent answers again"))
         state.list_version, state.list_refusals, state.list_heard = event.version, 0, True
-        state.list_told = True
         self._settle_list()
         if event.servers or event.list_kind is not interface.ListKind.CHANGES:
             self._apply_list(event.list_kind, event.servers or ())
@@ -1581,16 +1580,17 @@
                 self.effects.append(effects.ShareList(told))
 
     def _list_received(self, event: events.ListReceived) -> None:
-        """Takes over a list that the agent has told the other process, if it is news here.
+        """Takes over a list that the agent has told the other process, while it is not heard here.
 
-        Versions can be compared only with those that the same agent has told.
+        What this process is told itself always counts: the other one's watch may have fallen silent, and its
+        versions be those of before a restart of the agent.
         """
         state, told = self.state, event.told
-        if told.agent_address != state.server_list_address:
+        if told.agent_address != state.server_list_address or state.list_heard:
             return
-        if state.list_told and state.list_version is not None and told.version <= state.list_version:
+        if state.list_version is not None and told.version <= state.list_version:
             return
-        state.list_version, state.list_told = told.version, True
+        state.list_version = told.version
         self._apply_list(interface.ListKind.COMPLETE, told.servers)
 
     def _list_refused(self, connection: Connection) -> None:
@@ -1676,7 +1676,7 @@
         if event.server_list_address != state.server_list_address:
             state.server_list_address = event.server_list_address
             # Another agent may count versions differently: its complete list is asked for.
-            state.list_version, state.list_refusals, state.list_told = None, 0, False
+            state.list_version, state.list_refusals = None, 0
             state.list_heard, state.unheard_list_requests = False, 0
             for connection in self._list_connections():
                 self._close_connection(connection, Reason.ADDRESS_CHANGED)
--- a/opalgauge/memory/state.py
+++ b/opalgauge/memory/state.py
@@ -258,7 +258,6 @@
     list_reachable: bool = True  # the discovery agent answers; a change is logged
     list_refusals: int = 0  # one after another
     list_heard: bool = False  # the agent at this address has answered with a list, and not fallen silent
-    list_told: bool = False  # `list_version` is the agent's, told here or to the other process
     list_settled: bool = False  # see effects.ServerListSettled
     unheard_list_requests: int = 0  # while the agent was not heard
     last_connection_id: int = 0
