Retry a byte lock in one place

The tables of ids and of processes each had a loop of their own that tries a lock several times. Both call ByteLocks.lock now, with the same numbers of tries and pauses.

--- a/opalgauge/handover/byte_locks.py
+++ b/opalgauge/handover/byte_locks.py
@@ -9,6 +9,7 @@
 import fcntl
 import os
 import struct
+import time
 
 FLOCK = struct.Struct("hhqqi4x")  # struct flock of 64-bit Linux: type, whence, start, length, process
 
@@ -27,6 +28,15 @@
             return False
         return True
 
+    def lock(self, offset: int, attempts: int, retry_delay: float) -> bool:
+        """Tries to lock a byte several times, with `retry_delay` seconds between; returns whether it did."""
+        for attempt in range(attempts):
+            if attempt:
+                time.sleep(retry_delay)
+            if self.try_lock(offset):
+                return True
+        return False
+
     def unlock(self, offset: int) -> None:
         """Unlocks a byte."""
         fcntl.fcntl(self.descriptor, fcntl.F_OFD_SETLK, self._request(fcntl.F_UNLCK, offset))
--- a/opalgauge/handover/id_table.py
+++ b/opalgauge/handover/id_table.py
@@ -13,7 +13,6 @@
 import hashlib
 import os
 import struct
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import IntEnum
@@ -171,12 +170,7 @@
 
     def _lock(self, bucket: int, attempts: int) -> bool:
         """Locks a bucket. The other process has it for microseconds, unless it is stopped just then."""
-        for attempt in range(attempts):
-            if attempt:
-                time.sleep(LOCK_RETRY_DELAY)
-            if self.locks.try_lock(bucket):
-                return True
-        return False
+        return self.locks.lock(bucket, attempts, LOCK_RETRY_DELAY)
 
     def _read(self, bucket: int) -> list[Entry]:
         data = os.pread(self.descriptor, BUCKET_SIZE, bucket * BUCKET_SIZE)
--- a/opalgauge/handover/process_table.py
+++ b/opalgauge/handover/process_table.py
@@ -8,7 +8,6 @@
 
 import os
 import struct
-import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -44,11 +43,7 @@
             raise
 
     def _take_number(self, holding: Holding) -> int:
-        for _ in range(LOCK_ATTEMPTS):
-            if self.locks.try_lock(TABLE_LOCK):
-                break
-            time.sleep(LOCK_RETRY_DELAY)
-        else:
+        if not self.locks.lock(TABLE_LOCK, LOCK_ATTEMPTS, LOCK_RETRY_DELAY):
             raise TimeoutError("the table of processes stays locked")
         try:
             head = os.pread(self.descriptor, LAST_NUMBER.size, 0)
